--- /dev/null
+++ b/crates/plantainquay_core/src/agent.rs
@@ -0,0 +1,86 @@
+//! What an agent does with packets, messages and the passing of time.
+//!
+//! An agent ends the flows of one upstream. It holds the truth about them; everything that other
+//! processes know of them may be lost. Callers that echo TCP timestamps name their agent in each
+//! packet. For the others, the holder of a flow announces it to the agent that the table names,
+//! and repeats that, so that the owner of a bucket always learns where its flows are.
+
+mod announce;
+mod packet;
+mod placement;
+mod shard;
+mod siblings;
+mod state;
+mod view;
+
+use std::net::SocketAddr;
+
+use plantainquay_schema::{AgentMessage, TunnelHeader, UpstreamNumber};
+use smallvec::SmallVec;
+use thiserror::Error;
+
+pub use announce::{on_message, on_tick};
+pub use packet::on_packet;
+pub use placement::{Placement, place};
+pub use shard::{HeldFlow, Shard};
+pub use state::{AgentConfig, AgentState};
+pub use view::ServiceView;
+
+/// Messages to siblings, with the tunnels that they go to.
+pub type Outbox = SmallVec<[(SocketAddr, AgentMessage); 4]>;
+
+/// What becomes of a packet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The packet belongs to a flow that is held here.
+    Deliver,
+    /// The packet opens a flow here.
+    Open,
+    /// Another agent of the service gets the packet.
+    PassOn {
+        /// The other agent's tunnel.
+        to: SocketAddr,
+        /// The other agent's upstream.
+        upstream: UpstreamNumber,
+        /// Header before the packet.
+        header: TunnelHeader,
+    },
+    /// The caller is told that the flow doesn't exist.
+    Reset(ResetReason),
+    /// Nothing; the caller repeats the packet if it matters.
+    Drop(DropReason),
+}
+
+/// Why a flow is reset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum ResetReason {
+    /// No agent holds the flow.
+    #[error("unknown_flow")]
+    UnknownFlow,
+    /// No agent of the service takes new flows.
+    #[error("no_capacity")]
+    NoCapacity,
+}
+
+/// Why a packet is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum DropReason {
+    /// The packet is meant for another service.
+    #[error("wrong_service")]
+    WrongService,
+    /// No document is in force yet.
+    #[error("no_document")]
+    NoDocument,
+    /// The service has no such address and port.
+    #[error("unknown_address")]
+    UnknownAddress,
+    /// Too many handshakes are unfinished.
+    #[error("half_open_full")]
+    HalfOpenFull,
+    /// The flow is unknown, yet an agent that was asked may have forgotten it.
+    #[error("in_doubt")]
+    InDoubt,
+    /// The packet ends a flow that is gone already.
+    #[error("stray_reset")]
+    StrayReset,
+}
--- /dev/null
+++ b/crates/plantainquay_core/src/agent/packet.rs
@@ -0,0 +1,188 @@
+//! What an agent does with a packet.
+
+use plantainquay_schema::{FlowId, TunnelHeader, UpstreamNumber, UpstreamState};
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{AgentState, DropReason, Placement, ResetReason, ServiceView, Shard, Verdict, place};
+use crate::{Segment, Timestamp};
+
+/// Most agents that are asked for one packet.
+const MAX_TRIED: usize = 5;
+
+/// Serving siblings of an agent.
+type SiblingNumbers = SmallVec<[UpstreamNumber; 16]>;
+
+/// Decides on a packet; `shard` is the locked shard of its flow.
+pub fn on_packet<T>(
+    state: &AgentState<T>,
+    shard: &mut Shard<T>,
+    now: Timestamp,
+    header: &TunnelHeader,
+    segment: &Segment,
+) -> Verdict {
+    if header.service != state.config.service {
+        return Verdict::Drop(DropReason::WrongService);
+    }
+    let Some(view) = state.view() else {
+        return Verdict::Drop(DropReason::NoDocument);
+    };
+    if let (Some(from), Some(load)) = (header.from, header.load) {
+        state.siblings.lock().record(now, from, load);
+    }
+    let cx = Context {
+        state,
+        view: &view,
+        now,
+        header,
+        flow: segment.tuple.flow_id(),
+    };
+    if shard.get_exact(cx.flow, &segment.tuple).is_some() {
+        return Verdict::Deliver;
+    }
+    if let Some(verdict) = follow_redirect(&cx, shard) {
+        return verdict;
+    }
+    if segment.opening {
+        on_opening(&cx, shard, segment)
+    } else {
+        on_unknown(&cx, segment)
+    }
+}
+
+struct Context<'a, T> {
+    state: &'a AgentState<T>,
+    view: &'a ServiceView,
+    now: Timestamp,
+    header: &'a TunnelHeader,
+    flow: FlowId,
+}
+
+/// Passes the packet to the sibling that is known to hold its flow.
+fn follow_redirect<T>(cx: &Context<'_, T>, shard: &mut Shard<T>) -> Option<Verdict> {
+    let holder = shard.redirect(cx.now, cx.flow)?;
+    let gone = cx.view.agent(holder).is_none() || cx.header.tried.contains(&holder);
+    if gone {
+        shard.clear_redirect(cx.flow, holder);
+        return None;
+    }
+    pass_on(cx, holder, cx.header.placed)
+}
+
+fn on_opening<T>(cx: &Context<'_, T>, shard: &mut Shard<T>, segment: &Segment) -> Verdict {
+    if cx.view.mode(segment.tuple.destination).is_none() {
+        return Verdict::Drop(DropReason::UnknownAddress);
+    }
+    let own = cx.state.load(cx.now);
+    if let Some(sibling) = chosen_sibling(cx, own.accepting) {
+        let verdict = pass_on(cx, sibling, true);
+        if let Some(verdict) = verdict {
+            shard.set_redirect(cx.now, cx.flow, sibling);
+            cx.state.siblings.lock().add_flow(sibling);
+            return verdict;
+        }
+    }
+    if !own.accepting {
+        return Verdict::Reset(ResetReason::NoCapacity);
+    }
+    if !shard.can_open() {
+        return Verdict::Drop(DropReason::HalfOpenFull);
+    }
+    Verdict::Open
+}
+
+/// The sibling that a new flow is passed to, if it is.
+fn chosen_sibling<T>(cx: &Context<'_, T>, accepting: bool) -> Option<UpstreamNumber> {
+    if cx.header.tried.len() >= MAX_TRIED {
+        return None;
+    }
+    if !accepting {
+        return any_sibling(cx);
+    }
+    if cx.header.placed {
+        return None;
+    }
+    let own = cx.state.load(cx.now);
+    let (number, load) = random_reporter(cx)?;
+    (place(own, Some(load)) == Placement::Sibling).then_some(number)
+}
+
+/// One random sibling among those that reported lately.
+fn random_reporter<T>(cx: &Context<'_, T>) -> Option<(UpstreamNumber, plantainquay_schema::Load)> {
+    let siblings = cx.state.siblings.lock();
+    let numbers = serving_siblings(cx);
+    let start = random_start(cx, numbers.len())?;
+    let reported = rotated(&numbers, start)
+        .filter_map(|number| siblings.fresh(cx.now, number).map(|load| (number, load)));
+    reported.into_iter().next()
+}
+
+/// A sibling that takes new flows, as far as is known.
+fn any_sibling<T>(cx: &Context<'_, T>) -> Option<UpstreamNumber> {
+    let siblings = cx.state.siblings.lock();
+    let numbers = serving_siblings(cx);
+    let start = random_start(cx, numbers.len())?;
+    let accepts = |number: &UpstreamNumber| {
+        siblings
+            .fresh(cx.now, *number)
+            .is_some_and(|load| load.accepting)
+    };
+    let known = rotated(&numbers, start).find(accepts);
+    let unheard = |number: &UpstreamNumber| siblings.fresh(cx.now, *number).is_none();
+    known.or_else(|| rotated(&numbers, start).find(unheard))
+}
+
+fn serving_siblings<T>(cx: &Context<'_, T>) -> SiblingNumbers {
+    let upstreams = cx.view.service().upstreams.iter();
+    let serving = upstreams.filter(|u| u.state == UpstreamState::Serving);
+    let numbers = serving.map(|u| u.number);
+    let own = cx.state.config.number;
+    numbers
+        .filter(|n| *n != own && !cx.header.tried.contains(n))
+        .collect()
+}
+
+/// Where the search among `count` siblings starts, the same for a repeated packet.
+fn random_start<T>(cx: &Context<'_, T>, count: usize) -> Option<usize> {
+    let seed = cx.state.config.incarnation.0;
+    let hash = xxh3_64_with_seed(&cx.flow.0.to_le_bytes(), seed);
+    usize::try_from(hash >> 32).ok()?.checked_rem(count)
+}
+
+fn rotated(numbers: &[UpstreamNumber], start: usize) -> impl Iterator<Item = UpstreamNumber> {
+    let (before, after) = numbers.split_at(start);
+    after.iter().chain(before).copied()
+}
+
+/// Asks the next agent of the bucket's ranking for a flow that isn't held here.
+fn on_unknown<T>(cx: &Context<'_, T>, segment: &Segment) -> Verdict {
+    if segment.reset {
+        return Verdict::Drop(DropReason::StrayReset);
+    }
+    if cx.header.tried.len() + 1 < MAX_TRIED {
+        let ranking = cx.view.route.table.ranking(cx.view.service(), cx.flow);
+        let own = cx.state.config.number;
+        let next = ranking
+            .into_iter()
+            .find(|n| *n != own && !cx.header.tried.contains(n));
+        if let Some(verdict) = next.and_then(|next| pass_on(cx, next, false)) {
+            return verdict;
+        }
+    }
+    if cx.header.in_doubt || cx.state.is_in_doubt(cx.now) {
+        Verdict::Drop(DropReason::InDoubt)
+    } else {
+        Verdict::Reset(ResetReason::UnknownFlow)
+    }
+}
+
+fn pass_on<T>(cx: &Context<'_, T>, upstream: UpstreamNumber, placed: bool) -> Option<Verdict> {
+    let to = cx.view.agent(upstream)?;
+    let mut header = cx.state.pass_on_header(cx.now, cx.header);
+    header.placed = placed;
+    Some(Verdict::PassOn {
+        to,
+        upstream,
+        header,
+    })
+}
--- /dev/null
+++ b/crates/plantainquay_core/src/agent/shard.rs
@@ -0,0 +1,159 @@
+//! Flows and redirects of one shard.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use plantainquay_schema::{FlowId, UpstreamNumber};
+
+use crate::{FiveTuple, Timestamp};
+
+/// Time for which a redirect is kept without a packet or an announcement that needs it.
+///
+/// Longer than the last repetition of an opening packet, and than several announcements.
+pub(crate) const REDIRECT_TTL: Duration = Duration::from_secs(90);
+
+/// Flows that are held here and flows that are known to be held by siblings.
+#[derive(Debug)]
+pub struct Shard<T> {
+    held: HashMap<FlowId, HeldFlow<T>>,
+    redirects: HashMap<FlowId, Redirect>,
+    half_open: usize,
+    max_half_open: usize,
+    max_redirects: usize,
+    redirects_refused: u64,
+}
+
+/// One flow that is held here, with what the front end keeps for it.
+#[derive(Debug)]
+pub struct HeldFlow<T> {
+    /// Addresses and ports.
+    pub tuple: FiveTuple,
+    /// Whether the caller echoes timestamps, and with them the flow's tag.
+    pub echoes: bool,
+    /// Whether the handshake is finished.
+    pub established: bool,
+    /// Whether both ends have closed, so that the flow no longer counts as open.
+    pub lingering: bool,
+    /// The front end's part.
+    pub payload: T,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Redirect {
+    to: UpstreamNumber,
+    expires: Timestamp,
+}
+
+impl<T> Shard<T> {
+    pub(crate) fn new(max_half_open: usize, max_redirects: usize) -> Self {
+        Self {
+            held: HashMap::new(),
+            redirects: HashMap::new(),
+            half_open: 0,
+            max_half_open,
+            max_redirects,
+            redirects_refused: 0,
+        }
+    }
+
+    /// The flow, when it is held here.
+    pub fn get_mut(&mut self, flow: FlowId) -> Option<&mut HeldFlow<T>> {
+        self.held.get_mut(&flow)
+    }
+
+    /// The flow, when it is held here and has exactly these addresses and ports.
+    #[must_use]
+    pub fn get_exact(&self, flow: FlowId, tuple: &FiveTuple) -> Option<&HeldFlow<T>> {
+        self.held.get(&flow).filter(|held| held.tuple == *tuple)
+    }
+
+    /// Flows held here.
+    pub fn iter(&self) -> impl Iterator<Item = (FlowId, &HeldFlow<T>)> {
+        self.held.iter().map(|(flow, held)| (*flow, held))
+    }
+
+    /// Number of flows held here.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether no flow is held here.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// Number of redirects.
+    #[must_use]
+    pub fn redirects(&self) -> usize {
+        self.redirects.len()
+    }
+
+    /// Redirects that were refused because too many are kept.
+    #[must_use]
+    pub fn redirects_refused(&self) -> u64 {
+        self.redirects_refused
+    }
+
+    /// Notes that the flow's handshake is finished.
+    pub fn mark_established(&mut self, flow: FlowId) {
+        let Some(held) = self.held.get_mut(&flow) else {
+            return;
+        };
+        if !held.established {
+            held.established = true;
+            self.half_open -= 1;
+        }
+    }
+
+    pub(crate) fn can_open(&self) -> bool {
+        self.half_open < self.max_half_open
+    }
+
+    pub(crate) fn insert(&mut self, flow: FlowId, held: HeldFlow<T>) {
+        self.half_open += usize::from(!held.established);
+        self.redirects.remove(&flow);
+        let replaced = self.held.insert(flow, held);
+        debug_assert!(replaced.is_none(), "a held flow was opened again");
+    }
+
+    pub(crate) fn remove(&mut self, flow: FlowId) -> Option<HeldFlow<T>> {
+        let held = self.held.remove(&flow)?;
+        self.half_open -= usize::from(!held.established);
+        Some(held)
+    }
+
+    /// The sibling that holds the flow, as far as is known.
+    pub(crate) fn redirect(&mut self, now: Timestamp, flow: FlowId) -> Option<UpstreamNumber> {
+        let redirect = self.redirects.get_mut(&flow)?;
+        if redirect.expires < now {
+            self.redirects.remove(&flow);
+            return None;
+        }
+        redirect.expires = now + REDIRECT_TTL;
+        Some(redirect.to)
+    }
+
+    /// Remembers that a sibling holds the flow.
+    pub(crate) fn set_redirect(&mut self, now: Timestamp, flow: FlowId, to: UpstreamNumber) {
+        let full = self.redirects.len() >= self.max_redirects;
+        if full && !self.redirects.contains_key(&flow) {
+            self.redirects_refused += 1;
+            return;
+        }
+        let expires = now + REDIRECT_TTL;
+        self.redirects.insert(flow, Redirect { to, expires });
+    }
+
+    /// Forgets that `to` holds the flow.
+    pub(crate) fn clear_redirect(&mut self, flow: FlowId, to: UpstreamNumber) {
+        if self.redirects.get(&flow).is_some_and(|r| r.to == to) {
+            self.redirects.remove(&flow);
+        }
+    }
+
+    pub(crate) fn expire_redirects(&mut self, now: Timestamp) {
+        self.redirects.retain(|_, redirect| redirect.expires >= now);
+    }
+}
--- /dev/null
+++ b/crates/plantainquay_core/src/agent/state.rs
@@ -0,0 +1,249 @@
+//! State of one agent, in shards that each lie under their own lock.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use bon::Builder;
+use parking_lot::{Mutex, MutexGuard, RwLock};
+use plantainquay_schema::{
+    AgentMessage, AgentMessageBody, Document, FlowId, Incarnation, Load, ServiceId, TunnelHeader,
+    UpstreamNumber,
+};
+
+use super::siblings::Siblings;
+use super::{HeldFlow, Outbox, ServiceView, Shard, announce};
+use crate::{FiveTuple, Timestamp};
+
+/// Time after a start or a change of tables in which an agent doesn't trust its own ignorance.
+const SETTLE: Duration = Duration::from_secs(30);
+/// Time in which a started upstream's share rises to its full size.
+const RAMP: Duration = Duration::from_secs(10);
+/// Share at which the ramp starts, in percent.
+const RAMP_START_PERCENT: u64 = 10;
+/// A longer time between two ticks means that the process was paused.
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// Settings of an agent's decisions.
+#[derive(Clone, Copy, Debug, Builder)]
+pub struct AgentConfig {
+    /// The agent's service.
+    pub service: ServiceId,
+    /// The agent's upstream.
+    pub number: UpstreamNumber,
+    /// This life of the process.
+    pub incarnation: Incarnation,
+    /// Shards of state.
+    #[builder(default = 16)]
+    pub shards: usize,
+    /// Most unfinished handshakes in all shards together.
+    #[builder(default = 1_024)]
+    pub max_half_open: usize,
+    /// Most redirects in all shards together.
+    #[builder(default = 65_536)]
+    pub max_redirects: usize,
+}
+
+/// State of one agent.
+#[derive(Debug)]
+pub struct AgentState<T> {
+    pub(super) config: AgentConfig,
+    started: Timestamp,
+    view: RwLock<Option<Arc<ServiceView>>>,
+    pub(super) siblings: Mutex<Siblings>,
+    shards: Box<[Mutex<Shard<T>>]>,
+    open_flows: AtomicU32,
+    leaving: AtomicBool,
+    /// Until this many microseconds, ignorance of a flow proves nothing.
+    doubt_until: AtomicU64,
+    last_tick: AtomicU64,
+}
+
+impl<T> AgentState<T> {
+    /// An agent that holds nothing and knows nothing yet.
+    #[must_use]
+    pub fn new(config: AgentConfig, now: Timestamp) -> Self {
+        let shards = config.shards.max(1);
+        let per_shard = |bound: usize| bound.div_ceil(shards);
+        let new_shard = || {
+            Shard::new(
+                per_shard(config.max_half_open),
+                per_shard(config.max_redirects),
+            )
+        };
+        Self {
+            config,
+            started: now,
+            view: RwLock::new(None),
+            siblings: Mutex::default(),
+            shards: (0..shards).map(|_| Mutex::new(new_shard())).collect(),
+            open_flows: AtomicU32::new(0),
+            leaving: AtomicBool::new(false),
+            doubt_until: AtomicU64::new((now + SETTLE).0),
+            last_tick: AtomicU64::new(now.0),
+        }
+    }
+
+    /// The agent's settings.
+    #[must_use]
+    pub fn config(&self) -> &AgentConfig {
+        &self.config
+    }
+
+    /// The shard of a flow, locked.
+    pub fn shard(&self, flow: FlowId) -> MutexGuard<'_, Shard<T>> {
+        self.shards[self.shard_index(flow)].lock()
+    }
+
+    /// Index of a flow's shard.
+    #[must_use]
+    pub fn shard_index(&self, flow: FlowId) -> usize {
+        // The upper half: the lower bits choose the bucket.
+        usize::try_from(flow.0 >> 32).unwrap_or(0) % self.shards.len()
+    }
+
+    /// Every shard, in order.
+    pub fn shards(&self) -> impl Iterator<Item = &Mutex<Shard<T>>> {
+        self.shards.iter()
+    }
+
+    /// The service under the document in force.
+    #[must_use]
+    pub fn view(&self) -> Option<Arc<ServiceView>> {
+        self.view.read().clone()
+    }
+
+    /// Puts a document in force; returns announcements of flows whose bucket has another owner.
+    pub fn install(&self, now: Timestamp, document: &Document) -> Outbox {
+        let previous = self.view();
+        let view = ServiceView::build(document, self.config.service, previous.as_deref());
+        let view = view.map(Arc::new);
+        self.view.write().clone_from(&view);
+        self.enter_doubt(now);
+        view.map_or_else(Outbox::new, |view| announce::held(self, &view))
+    }
+
+    /// Takes no new flow from now on; returns the news for siblings.
+    pub fn leave(&self, now: Timestamp) -> Outbox {
+        self.leaving.store(true, Ordering::Relaxed);
+        announce::load_to_all(self, now)
+    }
+
+    /// Whether the agent was told to leave.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Number of flows held.
+    #[must_use]
+    pub fn open_flows(&self) -> u32 {
+        self.open_flows.load(Ordering::Relaxed)
+    }
+
+    /// Holds a flow that [`super::on_packet`] said to open.
+    pub fn open(&self, shard: &mut Shard<T>, tuple: FiveTuple, echoes: bool, payload: T) {
+        let held = HeldFlow {
+            tuple,
+            echoes,
+            established: false,
+            lingering: false,
+            payload,
+        };
+        shard.insert(tuple.flow_id(), held);
+        self.open_flows.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes that both ends of a flow have closed; it is kept for late packets only.
+    pub fn linger(&self, shard: &mut Shard<T>, flow: FlowId) {
+        let Some(held) = shard.get_mut(flow).filter(|held| !held.lingering) else {
+            return;
+        };
+        held.lingering = true;
+        self.open_flows.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Forgets a flow that has ended; returns the news for the bucket's owner.
+    pub fn close(&self, shard: &mut Shard<T>, flow: FlowId) -> (Option<T>, Outbox) {
+        let Some(held) = shard.remove(flow) else {
+            return (None, Outbox::new());
+        };
+        if !held.lingering {
+            self.open_flows.fetch_sub(1, Ordering::Relaxed);
+        }
+        let news = announce::released(self, flow, held.echoes);
+        (Some(held.payload), news)
+    }
+
+    /// The agent's own load, as it is reported to siblings.
+    #[must_use]
+    pub fn load(&self, now: Timestamp) -> Load {
+        let view = self.view();
+        let connections = view
+            .as_ref()
+            .and_then(|view| view.service().upstream(self.config.number))
+            .map_or(0, |upstream| upstream.connections);
+        let serving = view.is_some_and(|view| view.is_serving(self.config.number));
+        let open_flows = self.open_flows();
+        Load {
+            open_flows,
+            capacity: ramped(connections, now.since(self.started)),
+            accepting: serving && !self.is_leaving() && open_flows < connections,
+        }
+    }
+
+    pub(super) fn message(&self, body: AgentMessageBody) -> AgentMessage {
+        let view = self.view();
+        AgentMessage {
+            service: self.config.service,
+            from: self.config.number,
+            incarnation: self.config.incarnation,
+            generation: view.map(|view| view.generation).unwrap_or_default(),
+            body,
+        }
+    }
+
+    /// Header of a packet that this agent passes on.
+    pub(super) fn pass_on_header(&self, now: Timestamp, previous: &TunnelHeader) -> TunnelHeader {
+        let mut header = previous.clone();
+        header.tried.push(self.config.number);
+        header.from = Some(self.config.number);
+        header.load = Some(self.load(now));
+        header.in_doubt |= self.is_in_doubt(now);
+        header
+    }
+
+    pub(super) fn is_in_doubt(&self, now: Timestamp) -> bool {
+        now.0 < self.doubt_until.load(Ordering::Relaxed)
+    }
+
+    /// Notes a tick; after a pause, nothing that was heard before it counts any more.
+    pub(super) fn note_tick(&self, now: Timestamp) {
+        let last = Timestamp(self.last_tick.swap(now.0, Ordering::Relaxed));
+        if now.since(last) > PAUSE {
+            self.siblings.lock().clear();
+            self.enter_doubt(now);
+        }
+    }
+
+    fn enter_doubt(&self, now: Timestamp) {
+        self.doubt_until
+            .fetch_max((now + SETTLE).0, Ordering::Relaxed);
+    }
+}
+
+/// Capacity of an upstream that started `age` ago.
+fn ramped(capacity: u32, age: Duration) -> u32 {
+    let percent = if age >= RAMP {
+        100
+    } else {
+        let risen = (100 - RAMP_START_PERCENT) * to_u64(age.as_millis()) / to_u64(RAMP.as_millis());
+        RAMP_START_PERCENT + risen
+    };
+    let ramped = u64::from(capacity) * percent / 100;
+    u32::try_from(ramped).unwrap_or(u32::MAX).max(1)
+}
+
+fn to_u64(millis: u128) -> u64 {
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/plantainquay_core/src/balancer.rs
@@ -0,0 +1,83 @@
+//! What a balancer does with a packet.
+//!
+//! A balancer holds no state of its own: the agent is named by the tag that the caller echoes, or
+//! else by the table. It can lose its memory at any time without breaking a flow.
+
+mod shard;
+
+use std::net::SocketAddr;
+
+use plantainquay_schema::{ServiceId, TunnelHeader, UpstreamNumber};
+use thiserror::Error;
+
+pub use shard::{BalancerShard, Counters};
+
+use crate::{RouteMap, Segment, ServiceRoute};
+
+/// Where a packet goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Forward {
+    /// The agent's tunnel.
+    pub to: SocketAddr,
+    /// The agent's upstream.
+    pub upstream: UpstreamNumber,
+    /// Header before the packet.
+    pub header: TunnelHeader,
+}
+
+/// Why a packet is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum DropReason {
+    /// No service has the destination's address and port.
+    #[error("unknown_address")]
+    UnknownAddress,
+    /// No upstream of the service takes new work.
+    #[error("no_upstream")]
+    NoUpstream,
+}
+
+/// Names the agent for a packet.
+///
+/// # Errors
+///
+/// Returns why the packet is dropped; no packet is ever sent to a default service.
+pub fn route(routes: &RouteMap, segment: &Segment) -> Result<Forward, DropReason> {
+    let destination = segment.tuple.destination;
+    let route = routes.find(destination).ok_or(DropReason::UnknownAddress)?;
+    let number = tagged_upstream(route, segment)
+        .or_else(|| owner(route, segment))
+        .ok_or(DropReason::NoUpstream)?;
+    let upstream = route
+        .service
+        .upstream(number)
+        .ok_or(DropReason::NoUpstream)?;
+    Ok(Forward {
+        to: upstream.agent,
+        upstream: number,
+        header: header(routes, route.service.id),
+    })
+}
+
+/// The upstream that the caller's echo names, if it is one of the service's.
+fn tagged_upstream(route: &ServiceRoute, segment: &Segment) -> Option<UpstreamNumber> {
+    let tag = segment.tag.filter(|_| !segment.opening)?;
+    route.service.upstream(tag).map(|upstream| upstream.number)
+}
+
+fn owner(route: &ServiceRoute, segment: &Segment) -> Option<UpstreamNumber> {
+    let flow = segment.tuple.flow_id();
+    if let Some(owner) = route.table.owner(flow) {
+        return Some(owner);
+    }
+    // All upstreams drain: open flows still have their place.
+    let ranking = route.table.ranking(&route.service, flow);
+    ranking.first().copied().filter(|_| !segment.opening)
+}
+
+fn header(routes: &RouteMap, service: ServiceId) -> TunnelHeader {
+    TunnelHeader {
+        generation: routes.generation(),
+        service,
+        ..TunnelHeader::default()
+    }
+}
--- /dev/null
+++ b/crates/plantainquay_core/src/documents.rs
@@ -0,0 +1,96 @@
+//! Which document is in force.
+
+use std::sync::Arc;
+
+use plantainquay_schema::{Digest, Document, Generation, Name};
+
+/// The document in force and how it may be replaced.
+#[derive(Debug, Default)]
+pub struct Documents {
+    environment: Option<Name>,
+    in_force: Option<(Arc<Document>, Digest)>,
+    conflicts: u64,
+}
+
+/// What became of an offered document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It is in force now.
+    Applied,
+    /// It is in force already.
+    Same,
+    /// A newer generation is in force.
+    Older,
+    /// Two documents have the same generation; the offered one has the higher digest and is in
+    /// force now.
+    ConflictApplied,
+    /// Two documents have the same generation; the one in force has the higher digest and stays.
+    ConflictKept,
+    /// It belongs to another environment.
+    OtherEnvironment,
+}
+
+impl Documents {
+    /// Considers a document, from whatever source it came.
+    ///
+    /// Generations only rise. Of two documents with one generation, every process keeps the one
+    /// with the higher digest, so that all settle on the same one whatever order they came in.
+    pub fn offer(&mut self, document: &Arc<Document>) -> Offer {
+        if self
+            .environment
+            .as_ref()
+            .is_some_and(|own| *own != document.environment)
+        {
+            return Offer::OtherEnvironment;
+        }
+        let digest = document.digest();
+        let verdict = self.judge(document.generation, digest);
+        if matches!(verdict, Offer::ConflictApplied | Offer::ConflictKept) {
+            self.conflicts += 1;
+        }
+        if matches!(verdict, Offer::Applied | Offer::ConflictApplied) {
+            self.environment = Some(document.environment.clone());
+            self.in_force = Some((Arc::clone(document), digest));
+        }
+        verdict
+    }
+
+    /// The document in force.
+    #[must_use]
+    pub fn in_force(&self) -> Option<&Arc<Document>> {
+        self.in_force.as_ref().map(|(document, _)| document)
+    }
+
+    /// Generation in force; zero when there is none.
+    #[must_use]
+    pub fn generation(&self) -> Generation {
+        self.in_force().map_or(Generation(0), |d| d.generation)
+    }
+
+    /// Digest of the document in force.
+    #[must_use]
+    pub fn digest(&self) -> Option<Digest> {
+        self.in_force.as_ref().map(|(_, digest)| *digest)
+    }
+
+    /// How often two documents had the same generation.
+    #[must_use]
+    pub fn conflicts(&self) -> u64 {
+        self.conflicts
+    }
+
+    fn judge(&self, generation: Generation, digest: Digest) -> Offer {
+        let Some((current, current_digest)) = &self.in_force else {
+            return Offer::Applied;
+        };
+        if generation != current.generation {
+            let newer = generation > current.generation;
+            return if newer { Offer::Applied } else { Offer::Older };
+        }
+        match digest.cmp(current_digest) {
+            std::cmp::Ordering::Equal => Offer::Same,
+            std::cmp::Ordering::Greater => Offer::ConflictApplied,
+            std::cmp::Ordering::Less => Offer::ConflictKept,
+        }
+    }
+}
--- /dev/null
+++ b/crates/plantainquay_core/src/rendezvous.rs
@@ -0,0 +1,76 @@
+//! Weighted rendezvous hashing in integers, so that every process computes the same scores.
+//!
+//! The upstream with the lowest score of a bucket owns it. With `u` uniform in (0, 1], the score
+//! `-log2(u) / weight` gives each upstream a share in proportion to its weight, and a change of
+//! one upstream moves only buckets that it wins or loses.
+
+use plantainquay_schema::UpstreamNumber;
+
+/// Fraction bits of logarithms.
+const LOG_BITS: u32 = 32;
+/// Steps of the table between two powers of two, as a power of two.
+const STEP_BITS: u32 = 8;
+const STEPS: usize = 1 << STEP_BITS;
+/// Left shift of a logarithm before it is divided by a weight.
+const SCORE_SHIFT: u32 = 20;
+
+static LOG_TABLE: [u64; STEPS + 1] = log_table();
+
+/// Score of an upstream for a bucket; the lowest one owns the bucket.
+///
+/// `seed` separates services, `weight` must be at least 1.
+pub(crate) fn score(seed: u64, bucket: u32, number: UpstreamNumber, weight: u32) -> u64 {
+    let key = (u64::from(bucket) << 16) | u64::from(number.get());
+    let hash = mix(seed ^ mix(key));
+    (neg_log2(hash) << SCORE_SHIFT) / u64::from(weight.max(1))
+}
+
+/// `-log2(hash / 2^64)` in fixed point.
+fn neg_log2(hash: u64) -> u64 {
+    let hash = hash | 1;
+    let zeros = hash.leading_zeros();
+    let mantissa = (hash << zeros) << 1;
+    let step = usize::try_from(mantissa >> (64 - STEP_BITS)).unwrap_or(0);
+    let rest = (mantissa << STEP_BITS) >> 32;
+    let (low, high) = (LOG_TABLE[step], LOG_TABLE[step + 1]);
+    let fraction = low + (((high - low) * rest) >> 32);
+    (u64::from(zeros + 1) << LOG_BITS) - fraction
+}
+
+/// Finaliser of SplitMix64.
+fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// `log2(1 + i / STEPS)` for each step.
+const fn log_table() -> [u64; STEPS + 1] {
+    let mut table = [0; STEPS + 1];
+    let mut i = 0;
+    while i < STEPS {
+        table[i] = log2_of_mantissa(((STEPS + i) as u64) << (63 - STEP_BITS));
+        i += 1;
+    }
+    table[STEPS] = 1 << LOG_BITS;
+    table
+}
+
+/// `log2(mantissa / 2^63)` by repeated squaring, for a mantissa with its top bit set.
+const fn log2_of_mantissa(mantissa: u64) -> u64 {
+    let mut value = mantissa;
+    let mut log = 0;
+    let mut bit = LOG_BITS;
+    while bit > 0 {
+        bit -= 1;
+        let square = (value as u128) * (value as u128);
+        if square >> 127 == 1 {
+            log |= 1 << bit;
+            value = (square >> 64) as u64;
+        } else {
+            value = (square >> 63) as u64;
+        }
+    }
+    log
+}
--- /dev/null
+++ b/crates/plantainquay_core/src/requests.rs
@@ -0,0 +1,7 @@
+//! How requests are admitted and what becomes of them.
+
+mod outcome;
+mod queue;
+
+pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use queue::{Admission, QueueConfig, RequestQueue, Started, Ticket, Work};
--- /dev/null
+++ b/crates/plantainquay_core/src/table.rs
@@ -0,0 +1,169 @@
+//! Which upstream of a service owns which bucket of flows.
+
+use plantainquay_schema::{FlowId, Service, ServiceId, Upstream, UpstreamNumber, UpstreamState};
+use smallvec::SmallVec;
+
+use crate::rendezvous::score;
+
+/// Buckets for each upstream; more make shares more even.
+const BUCKETS_PER_UPSTREAM: usize = 128;
+const MIN_BUCKETS: usize = 256;
+const MAX_BUCKETS: usize = 1 << 17;
+
+/// Upstreams of a service in the order in which a bucket prefers them.
+pub type Ranking = SmallVec<[UpstreamNumber; 8]>;
+
+/// Owners of a service's buckets: a pure function of the service's upstreams.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct BucketTable {
+    seed: u64,
+    owners: Box<[Option<UpstreamNumber>]>,
+}
+
+impl BucketTable {
+    /// Computes every owner anew.
+    #[must_use]
+    pub fn build(service: &Service) -> Self {
+        let seed = seed(service.id);
+        let buckets = 0..bucket_count(service.upstreams.len());
+        let owners = buckets.map(|b| best(seed, to_u32(b), &service.upstreams));
+        Self {
+            seed,
+            owners: owners.collect(),
+        }
+    }
+
+    /// The table of `new`, computed from this one, which is the table of `old`.
+    ///
+    /// Only buckets that a changed upstream wins or loses are computed anew.
+    #[must_use]
+    pub fn rebuild(&self, old: &Service, new: &Service) -> Self {
+        let same_size = self.owners.len() == bucket_count(new.upstreams.len());
+        if old.id != new.id || !same_size {
+            return Self::build(new);
+        }
+        let lost = changed(old, new);
+        let gained = changed(new, old);
+        let owners = self.owners.iter().enumerate().map(|(bucket, owner)| {
+            let bucket = to_u32(bucket);
+            let kept = owner.filter(|owner| !lost.iter().any(|u| u.number == *owner));
+            let Some(upstream) = kept.and_then(|owner| new.upstream(owner)) else {
+                return best(self.seed, bucket, &new.upstreams);
+            };
+            best_of(self.seed, bucket, gained.iter().copied().chain([upstream]))
+        });
+        Self {
+            seed: self.seed,
+            owners: owners.collect(),
+        }
+    }
+
+    /// Owner of the flow's bucket; none when no upstream takes new work.
+    #[must_use]
+    pub fn owner(&self, flow: FlowId) -> Option<UpstreamNumber> {
+        self.owners.get(self.bucket(flow)).copied().flatten()
+    }
+
+    /// Every upstream, draining ones too, in the order of the flow's bucket.
+    ///
+    /// The owners that the bucket had before an upstream joined or drained follow its owner.
+    #[must_use]
+    pub fn ranking(&self, service: &Service, flow: FlowId) -> Ranking {
+        let bucket = to_u32(self.bucket(flow));
+        let mut scored: SmallVec<[(u64, UpstreamNumber); 8]> = SmallVec::new();
+        for upstream in &service.upstreams {
+            scored.push((score_of(self.seed, bucket, upstream), upstream.number));
+        }
+        scored.sort_unstable();
+        scored.into_iter().map(|(_, number)| number).collect()
+    }
+
+    /// Number of buckets.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.owners.len()
+    }
+
+    /// Whether the table has no bucket.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.owners.is_empty()
+    }
+
+    /// Owners in the order of their buckets.
+    #[must_use]
+    pub fn owners(&self) -> &[Option<UpstreamNumber>] {
+        &self.owners
+    }
+
+    /// Bytes that the table takes on the heap.
+    #[must_use]
+    pub fn heap_bytes(&self) -> usize {
+        size_of_val(&*self.owners)
+    }
+
+    fn bucket(&self, flow: FlowId) -> usize {
+        // The length is a power of two.
+        to_usize(flow.0) & self.owners.len().wrapping_sub(1)
+    }
+}
+
+/// Share of the buckets of `old` whose owner differs in `new`.
+#[must_use]
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+pub fn moved_share(old: &BucketTable, new: &BucketTable) -> f64 {
+    let buckets = old.len().max(new.len());
+    if buckets == 0 {
+        return 0.0;
+    }
+    let moved = (0..buckets)
+        .map(|b| FlowId(b as u64))
+        .filter(|flow| old.owner(*flow) != new.owner(*flow));
+    moved.count() as f64 / buckets as f64
+}
+
+fn bucket_count(upstreams: usize) -> usize {
+    let wanted = upstreams.max(1) * BUCKETS_PER_UPSTREAM;
+    wanted.next_power_of_two().clamp(MIN_BUCKETS, MAX_BUCKETS)
+}
+
+fn seed(service: ServiceId) -> u64 {
+    service.0
+}
+
+fn best(seed: u64, bucket: u32, upstreams: &[Upstream]) -> Option<UpstreamNumber> {
+    best_of(seed, bucket, upstreams.iter())
+}
+
+fn best_of<'a>(
+    seed: u64,
+    bucket: u32,
+    upstreams: impl Iterator<Item = &'a Upstream>,
+) -> Option<UpstreamNumber> {
+    let serving = upstreams.filter(|u| u.state == UpstreamState::Serving);
+    let scored = serving.map(|u| (score_of(seed, bucket, u), u.number));
+    scored.min().map(|(_, number)| number)
+}
+
+fn score_of(seed: u64, bucket: u32, upstream: &Upstream) -> u64 {
+    score(seed, bucket, upstream.number, upstream.connections)
+}
+
+/// Upstreams of `of` whose share differs in `other`.
+fn changed<'a>(of: &'a Service, other: &Service) -> Vec<&'a Upstream> {
+    let same_share =
+        |a: &Upstream, b: &Upstream| a.state == b.state && a.connections == b.connections;
+    let changed = of.upstreams.iter().filter(|upstream| {
+        let twin = other.upstream(upstream.number);
+        !twin.is_some_and(|twin| same_share(upstream, twin))
+    });
+    changed.collect()
+}
+
+fn to_u32(bucket: usize) -> u32 {
+    u32::try_from(bucket).unwrap_or(u32::MAX)
+}
+
+fn to_usize(hash: u64) -> usize {
+    usize::try_from(hash & u64::from(u32::MAX)).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/crates/plantainquay_net/src/agent/flows.rs
@@ -0,0 +1,237 @@
+//! Flows that are ended here.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use log::Level;
+use parking_lot::MutexGuard;
+use plantainquay_core::agent::Shard;
+use plantainquay_core::{FiveTuple, Segment, Timestamp};
+use plantainquay_schema::{FlowId, ListenerMode};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+use super::runtime::AgentRuntime;
+use crate::tcp_endpoint::Packets;
+use crate::{FlowEnd, TcpEndpoint, event, pump, write_tag};
+
+/// What the agent keeps for a flow besides the decisions' part.
+#[derive(Debug)]
+pub(super) struct Flow {
+    endpoint: TcpEndpoint,
+    readable: Arc<Notify>,
+    writable: Arc<Notify>,
+    opened: Timestamp,
+    /// Moment for which the shard's timer is set.
+    due: Option<Timestamp>,
+}
+
+impl AgentRuntime {
+    /// Opens a flow with its first packet.
+    pub(super) fn open(
+        self: &Arc<Self>,
+        mut shard: MutexGuard<'_, Shard<Flow>>,
+        now: Timestamp,
+        segment: &Segment,
+        packet: &[u8],
+    ) {
+        let tuple = segment.tuple;
+        let flow = tuple.flow_id();
+        let seed = flow.0 ^ now.0 ^ self.state.config().incarnation.0;
+        let endpoint = Flow {
+            endpoint: TcpEndpoint::listen(&tuple, seed, now),
+            readable: Arc::default(),
+            writable: Arc::default(),
+            opened: now,
+            due: None,
+        };
+        self.state
+            .open(&mut shard, tuple, segment.has_timestamp, endpoint);
+        self.deliver(shard, now, flow, packet);
+    }
+
+    /// Hands a packet to its flow.
+    pub(super) fn deliver(
+        self: &Arc<Self>,
+        mut shard: MutexGuard<'_, Shard<Flow>>,
+        now: Timestamp,
+        flow: FlowId,
+        packet: &[u8],
+    ) {
+        let packets = self.drive(&mut shard, now, flow, |endpoint| {
+            endpoint.deliver(now, packet)
+        });
+        wake(&mut shard, flow);
+        drop(shard);
+        self.send_packets(now, packets);
+    }
+
+    /// Polls the flows whose timers are due.
+    pub(super) fn poll_due(self: &Arc<Self>, flows: &[FlowId], now: Timestamp) {
+        for flow in flows {
+            let mut shard = self.state.shard(*flow);
+            if let Some(held) = shard.get_mut(*flow) {
+                held.payload.due = None;
+            }
+            let packets = self.drive(&mut shard, now, *flow, |endpoint| endpoint.poll(now));
+            wake(&mut shard, *flow);
+            drop(shard);
+            self.send_packets(now, packets);
+        }
+    }
+
+    /// Calls `f` with a flow's endpoint, then does what its new state asks for.
+    fn drive(
+        self: &Arc<Self>,
+        shard: &mut Shard<Flow>,
+        now: Timestamp,
+        flow: FlowId,
+        f: impl FnOnce(&mut TcpEndpoint) -> Packets,
+    ) -> Packets {
+        let Some(held) = shard.get_mut(flow) else {
+            return Packets::new();
+        };
+        let was_established = held.established;
+        let tuple = held.tuple;
+        let payload = &mut held.payload;
+        let packets = f(&mut payload.endpoint);
+        let established = payload.endpoint.is_established();
+        let lingering = payload.endpoint.is_time_wait();
+        let closed = payload.endpoint.is_closed();
+        self.set_timer(payload, now, flow);
+        if established && !was_established {
+            shard.mark_established(flow);
+            self.runtime.spawn(Arc::clone(self).serve(tuple));
+        }
+        if lingering {
+            self.state.linger(shard, flow);
+        }
+        if closed {
+            self.end(shard, now, flow);
+        }
+        packets
+    }
+
+    fn end(&self, shard: &mut Shard<Flow>, now: Timestamp, flow: FlowId) {
+        let (payload, news) = self.state.close(shard, flow);
+        if let Some(payload) = payload {
+            payload.readable.notify_one();
+            payload.writable.notify_one();
+            let seconds = now.since(payload.opened).as_secs_f64();
+            metrics::histogram!("plantainquay_flow_seconds").record(seconds);
+        }
+        self.send_outbox(news);
+    }
+
+    fn set_timer(&self, payload: &mut Flow, now: Timestamp, flow: FlowId) {
+        let Some(due) = payload.endpoint.poll_at(now) else {
+            return;
+        };
+        if payload.due.is_none_or(|set| due < set) {
+            payload.due = Some(due);
+            self.timers[self.state.shard_index(flow)].set(due, flow);
+        }
+    }
+
+    fn send_packets(&self, now: Timestamp, packets: Packets) {
+        for mut packet in packets {
+            write_tag(&mut packet, self.state.config().number, now);
+            self.send_to_fabric(&packet);
+        }
+    }
+
+    /// Joins an established flow to the upstream, or to the request service.
+    async fn serve(self: Arc<Self>, tuple: FiveTuple) {
+        let flow = tuple.flow_id();
+        let Some(end) = self.flow_end(flow) else {
+            return;
+        };
+        let result = match self.target(&tuple) {
+            Some((address, ListenerMode::Flow)) => match TcpStream::connect(address).await {
+                Ok(stream) => pump(&end, stream).await,
+                Err(error) => Err(error),
+            },
+            Some((address, ListenerMode::Request)) => match TcpStream::connect(address).await {
+                Ok(stream) => self.pump_requests(&end, stream, &tuple).await,
+                Err(error) => Err(error),
+            },
+            None => Err(std::io::ErrorKind::AddrNotAvailable.into()),
+        };
+        if let Err(error) = result {
+            (end.with)(&mut TcpEndpoint::abort);
+            let pairs: [(&str, &dyn std::fmt::Display); 2] =
+                [("source", &tuple.source), ("reason", &error)];
+            event(Level::Info, "flow_failed", &pairs);
+        }
+    }
+
+    /// Registers the stream, so that the request service knows whose requests it carries.
+    async fn pump_requests<W>(
+        &self,
+        end: &FlowEnd<W>,
+        stream: TcpStream,
+        tuple: &FiveTuple,
+    ) -> std::io::Result<()>
+    where
+        W: Fn(&mut dyn FnMut(&mut TcpEndpoint)) -> Option<()>,
+    {
+        let local = stream.local_addr()?;
+        self.gate.register(local, *tuple);
+        let result = pump(end, stream).await;
+        self.gate.unregister(local);
+        result
+    }
+
+    fn target(&self, tuple: &FiveTuple) -> Option<(SocketAddr, ListenerMode)> {
+        let view = self.state.view()?;
+        let mode = view.mode(tuple.destination)?;
+        let upstream = view.service().upstream(self.state.config().number)?;
+        match mode {
+            ListenerMode::Flow => Some((upstream.endpoint, mode)),
+            ListenerMode::Request => Some((self.gate.address(), mode)),
+        }
+    }
+
+    fn flow_end(
+        self: &Arc<Self>,
+        flow: FlowId,
+    ) -> Option<FlowEnd<impl Fn(&mut dyn FnMut(&mut TcpEndpoint)) -> Option<()> + use<>>> {
+        let mut shard = self.state.shard(flow);
+        let payload = &shard.get_mut(flow)?.payload;
+        let (readable, writable) = (Arc::clone(&payload.readable), Arc::clone(&payload.writable));
+        drop(shard);
+        let this = Arc::clone(self);
+        let with = move |f: &mut dyn FnMut(&mut TcpEndpoint)| this.with_endpoint(flow, f);
+        Some(FlowEnd {
+            with,
+            readable,
+            writable,
+        })
+    }
+
+    /// Calls `f` with a flow's endpoint on behalf of its pump, which is not woken by it.
+    fn with_endpoint(
+        self: &Arc<Self>,
+        flow: FlowId,
+        f: &mut dyn FnMut(&mut TcpEndpoint),
+    ) -> Option<()> {
+        let now = self.clock.now();
+        let mut shard = self.state.shard(flow);
+        shard.get_mut(flow)?;
+        let packets = self.drive(&mut shard, now, flow, |endpoint| {
+            f(endpoint);
+            endpoint.poll(now)
+        });
+        drop(shard);
+        self.send_packets(now, packets);
+        Some(())
+    }
+}
+
+/// Wakes the pump after packets or time have changed the endpoint.
+fn wake(shard: &mut Shard<Flow>, flow: FlowId) {
+    if let Some(held) = shard.get_mut(flow) {
+        held.payload.readable.notify_one();
+        held.payload.writable.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/plantainquay_net/src/agent/requests.rs
@@ -0,0 +1,213 @@
+//! Admission of requests, and whose requests they are.
+
+mod attempt;
+mod serve;
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::{Mutex, RwLock};
+use plantainquay_core::requests::{
+    Admission, NotRunReason, QueueConfig, RequestQueue, Started, Ticket, Work,
+};
+use plantainquay_core::{FiveTuple, Timestamp};
+use plantainquay_schema::{Document, Name, ServiceId, Upstream, UpstreamNumber, WorkClass};
+use tokio::sync::oneshot;
+
+use crate::Clock;
+
+pub use serve::serve_requests;
+
+/// Admission of requests at one agent.
+#[derive(Debug)]
+pub(crate) struct RequestGate {
+    clock: Clock,
+    address: SocketAddr,
+    listener: Mutex<Option<TcpListener>>,
+    slots: Mutex<Slots>,
+    callers: Mutex<HashMap<SocketAddr, FiveTuple>>,
+    view: RwLock<Option<GateView>>,
+}
+
+/// The queue, and how those that wait in it are told.
+#[derive(Debug)]
+struct Slots {
+    queue: RequestQueue,
+    waiters: HashMap<Ticket, oneshot::Sender<Turn>>,
+}
+
+/// What the request service needs of the document in force.
+#[derive(Clone, Debug)]
+struct GateView {
+    document: Arc<Document>,
+    service: ServiceId,
+    upstream: UpstreamNumber,
+}
+
+/// What a waiting request is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Turn {
+    Run,
+    Expired,
+}
+
+/// A request's slot; it is free again when this is dropped.
+#[derive(Debug)]
+struct Slot<'a> {
+    gate: &'a RequestGate,
+    ticket: Ticket,
+}
+
+/// Class, member and upstream of one request.
+#[derive(Clone, Debug)]
+struct Routed {
+    class: WorkClass,
+    member: Name,
+    endpoint: SocketAddr,
+}
+
+impl RequestGate {
+    /// A gate whose request service listens on a port of this machine's loopback.
+    pub(crate) fn bind(max_waiting: usize, clock: Clock) -> io::Result<Self> {
+        let listener = TcpListener::bind((IpAddr::V4(Ipv4Addr::LOCALHOST), 0))?;
+        // No request is admitted before a document says how many slots there are.
+        let config = QueueConfig::builder()
+            .slots(0)
+            .max_waiting(max_waiting)
+            .build();
+        Ok(Self {
+            clock,
+            address: listener.local_addr()?,
+            listener: Mutex::new(Some(listener)),
+            slots: Mutex::new(Slots {
+                queue: RequestQueue::new(config),
+                waiters: HashMap::new(),
+            }),
+            callers: Mutex::default(),
+            view: RwLock::new(None),
+        })
+    }
+
+    /// Where the request service listens.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The listener of the request service; taken once.
+    pub(crate) fn take_listener(&self) -> Option<TcpListener> {
+        self.listener.lock().take()
+    }
+
+    /// Notes whose requests the stream from `local` carries.
+    pub(crate) fn register(&self, local: SocketAddr, tuple: FiveTuple) {
+        self.callers.lock().insert(local, tuple);
+    }
+
+    /// Forgets a stream.
+    pub(crate) fn unregister(&self, local: SocketAddr) {
+        self.callers.lock().remove(&local);
+    }
+
+    /// Puts a document in force.
+    pub(crate) fn install(
+        &self,
+        now: Timestamp,
+        document: &Arc<Document>,
+        service: ServiceId,
+        upstream: Option<&Upstream>,
+    ) {
+        let Some(upstream) = upstream else {
+            return;
+        };
+        *self.view.write() = Some(GateView {
+            document: Arc::clone(document),
+            service,
+            upstream: upstream.number,
+        });
+        let mut slots = self.slots.lock();
+        let started = slots.queue.set_slots(now, upstream.slots);
+        slots.tell(&started);
+    }
+
+    /// Requests that run and requests that wait.
+    pub(crate) fn load(&self) -> (usize, usize) {
+        let slots = self.slots.lock();
+        (slots.queue.running(), slots.queue.waiting())
+    }
+
+    /// Class, member and upstream of a request for `path` that came from `local`.
+    fn routed(&self, local: SocketAddr, path: &str) -> Option<Routed> {
+        let view = self.view.read().clone()?;
+        let service = view.document.service_by_id(view.service)?;
+        let caller = self.callers.lock().get(&local).copied()?;
+        let member = view.document.member_of(caller.source.ip());
+        Some(Routed {
+            class: service.class(path)?.clone(),
+            member: member.cloned().unwrap_or_default(),
+            endpoint: service.upstream(view.upstream)?.endpoint,
+        })
+    }
+
+    /// Waits for a slot.
+    async fn slot(&self, work: Work) -> Result<Slot<'_>, NotRunReason> {
+        let (ticket, waiter) = self.admit(work)?;
+        let slot = Slot { gate: self, ticket };
+        match waiter {
+            None => Ok(slot),
+            Some(rx) => match tokio::time::timeout(self.remaining(work.deadline), rx).await {
+                Ok(Ok(Turn::Run)) => Ok(slot),
+                _ => Err(self.give_up(slot, work.deadline)),
+            },
+        }
+    }
+
+    fn admit(&self, work: Work) -> Result<(Ticket, Option<oneshot::Receiver<Turn>>), NotRunReason> {
+        let mut slots = self.slots.lock();
+        match slots.queue.admit(self.clock.now(), work) {
+            Admission::Run(ticket) => Ok((ticket, None)),
+            Admission::Refuse(reason) => Err(reason),
+            Admission::Wait(ticket) => {
+                let (tx, rx) = oneshot::channel();
+                slots.waiters.insert(ticket, tx);
+                Ok((ticket, Some(rx)))
+            }
+        }
+    }
+
+    /// Leaves the queue; dropping the slot frees it if the turn came at the same moment.
+    fn give_up(&self, slot: Slot<'_>, deadline: Timestamp) -> NotRunReason {
+        let mut slots = self.slots.lock();
+        slots.queue.cancel(deadline, slot.ticket);
+        slots.waiters.remove(&slot.ticket);
+        drop(slots);
+        drop(slot);
+        NotRunReason::DeadlinePassed
+    }
+
+    fn remaining(&self, deadline: Timestamp) -> Duration {
+        deadline.since(self.clock.now())
+    }
+}
+
+impl Slots {
+    fn tell(&mut self, started: &Started) {
+        let runs = started.run.iter().map(|ticket| (ticket, Turn::Run));
+        let expired = started.expired.iter().map(|ticket| (ticket, Turn::Expired));
+        for (ticket, turn) in runs.chain(expired) {
+            let waiter = self.waiters.remove(ticket);
+            // A waiter that is gone gives its slot back when it drops it.
+            let _told = waiter.map(|tx| tx.send(turn));
+        }
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        let mut slots = self.gate.slots.lock();
+        let started = slots.queue.finish(self.gate.clock.now(), self.ticket);
+        slots.tell(&started);
+    }
+}
--- /dev/null
+++ b/crates/plantainquay_net/src/agent/requests/attempt.rs
@@ -0,0 +1,93 @@
+//! One attempt of a request at the upstream.
+
+use std::time::Duration;
+
+use ntex::client::Client;
+use ntex::client::error::ClientError;
+use ntex::http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName};
+use ntex::http::{Method, StatusCode};
+use ntex::time::Millis;
+use ntex::util::Bytes;
+use plantainquay_core::requests::{NotRunReason, Outcome, UnknownReason};
+
+use super::Routed;
+
+/// Largest answer that is taken, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Header by which an upstream says that it refused a request without running it.
+const NOT_RUN_HEADER: &str = "plantainquay-not-run";
+
+/// What a caller sent.
+#[derive(Debug)]
+pub(super) struct Request {
+    pub(super) method: Method,
+    /// Path and query.
+    pub(super) path: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+/// A whole answer of an upstream.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+/// Sends the request to the upstream and waits for its whole answer.
+pub(super) async fn attempt(
+    client: &Client,
+    routed: &Routed,
+    request: &Request,
+    remaining: Duration,
+) -> Result<Answer, Outcome> {
+    let url = format!("http://{}{}", routed.endpoint, request.path);
+    let timeout = Millis(
+        u32::try_from(remaining.as_millis())
+            .unwrap_or(u32::MAX)
+            .max(1),
+    );
+    let mut outgoing = client.request(request.method.clone(), url).timeout(timeout);
+    for (name, value) in request
+        .headers
+        .iter()
+        .filter(|(name, _)| is_end_to_end(name))
+    {
+        outgoing.headers_mut().append(name.clone(), value.clone());
+    }
+    let response = outgoing.send_body(request.body.clone()).await;
+    let response = response.map_err(|error| outcome_of(&error))?;
+    if response.headers().contains_key(NOT_RUN_HEADER) {
+        return Err(Outcome::NotRun(NotRunReason::UpstreamRefused));
+    }
+    let body = response
+        .body()
+        .limit(MAX_ANSWER_BYTES)
+        .timeout(timeout)
+        .await;
+    let body = body.map_err(|_e| Outcome::Unknown(UnknownReason::ConnectionLost))?;
+    Ok(Answer {
+        status: response.status(),
+        headers: response.headers().clone(),
+        body,
+    })
+}
+
+/// Whether a header is meant for the other end, and not for one connection.
+pub(super) fn is_end_to_end(name: &HeaderName) -> bool {
+    const PER_CONNECTION: [&str; 4] = ["keep-alive", "transfer-encoding", "upgrade", "te"];
+    let lengths = [HOST, CONNECTION, CONTENT_LENGTH];
+    !lengths.contains(name) && !PER_CONNECTION.contains(&name.as_str())
+}
+
+/// A request without a connection never ran; any other failure leaves that open.
+fn outcome_of(error: &ClientError) -> Outcome {
+    match error {
+        ClientError::Connect(_) | ClientError::Url(_) => {
+            Outcome::NotRun(NotRunReason::NoConnection)
+        }
+        ClientError::Timeout => Outcome::Unknown(UnknownReason::Timeout),
+        _ => Outcome::Unknown(UnknownReason::ConnectionLost),
+    }
+}
--- /dev/null
+++ b/crates/plantainquay_net/src/clock.rs
@@ -0,0 +1,28 @@
+//! The clock that gives deciding functions the present time.
+
+use std::time::Instant;
+
+use plantainquay_core::Timestamp;
+
+/// A clock that starts with the process and never goes back.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    #[must_use]
+    pub fn start() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    /// The present time.
+    #[must_use]
+    pub fn now(&self) -> Timestamp {
+        let micros = self.start.elapsed().as_micros();
+        Timestamp(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/crates/plantainquay_net/src/lib.rs
@@ -0,0 +1,29 @@
+//! Sockets, clock and codecs around the decisions of `plantainquay_core`.
+//!
+//! [`BalancerRuntime`] and [`AgentRuntime`] turn datagrams and timers into events for the core
+//! and carry out what it decides. [`TcpEndpoint`] is one end of a TCP flow inside the tunnel;
+//! [`Sealer`] signs and checks what the system's processes send each other.
+
+mod agent;
+mod balancer;
+mod clock;
+mod documents;
+mod flow_pump;
+mod http;
+mod logging;
+mod packet;
+mod seal;
+mod tcp_endpoint;
+mod udp;
+
+pub use agent::{AgentError, AgentRuntime, serve_requests};
+pub use balancer::{BalancerError, BalancerRuntime};
+pub use clock::Clock;
+pub use documents::{DocumentStore, watch_configuration};
+pub use flow_pump::{FlowEnd, pump};
+pub use http::{HttpState, StatusSource, serve_http};
+pub use logging::{event, init_metrics};
+pub use packet::{PacketError, parse_segment, reset_for, write_tag};
+pub use seal::{Opened, SealError, Sealer};
+pub use tcp_endpoint::{Packets, Received, TcpEndpoint};
+pub use udp::{bind_reuse_port, bind_udp};
--- /dev/null
+++ b/crates/plantainquay_net/src/logging.rs
@@ -0,0 +1,48 @@
+//! One line of key=value pairs for each event, and the metrics recorder.
+
+use std::fmt::{Display, Write as _};
+
+use log::Level;
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+
+/// Bounds of the buckets of every histogram, in seconds.
+const HISTOGRAM_BUCKETS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0, 60.0, 600.0, 3600.0,
+];
+
+/// Logs one event as `level=… event=… key=value …`.
+pub fn event(level: Level, name: &str, pairs: &[(&str, &dyn Display)]) {
+    if level > log::max_level() {
+        return;
+    }
+    let mut line = format!("level={} event={name}", level.as_str().to_ascii_lowercase());
+    for (key, value) in pairs {
+        line.push(' ');
+        line.push_str(key);
+        line.push('=');
+        push_value(&mut line, &value.to_string());
+    }
+    log::log!(target: "plantainquay", level, "{line}");
+}
+
+/// Installs the recorder that `/metrics` renders.
+///
+/// # Errors
+///
+/// Fails when a recorder is installed already.
+pub fn init_metrics() -> Result<PrometheusHandle, BuildError> {
+    PrometheusBuilder::new()
+        .set_buckets(&HISTOGRAM_BUCKETS)?
+        .install_recorder()
+}
+
+/// Quotes a value that would not read as one word.
+fn push_value(line: &mut String, value: &str) {
+    let plain = |c: char| !c.is_whitespace() && c != '"' && c != '=' && !c.is_control();
+    if !value.is_empty() && value.chars().all(plain) {
+        line.push_str(value);
+        return;
+    }
+    // Writing to a string never fails.
+    let _infallible = write!(line, "{value:?}");
+}
--- /dev/null
+++ b/crates/plantainquay_net/src/packet/reset.rs
@@ -0,0 +1,49 @@
+//! The segment that tells a caller that its flow doesn't exist.
+
+use std::net::IpAddr;
+
+use etherparse::{PacketBuilder, PacketBuilderStep, TcpHeader, TcpSlice};
+
+use super::PacketError;
+use super::parse::slice;
+
+const HOP_LIMIT: u8 = 64;
+
+/// The reset that answers `packet`, as RFC 9293 forms it.
+///
+/// # Errors
+///
+/// Fails when the packet is no unfragmented TCP segment.
+pub fn reset_for(packet: &[u8]) -> Result<Vec<u8>, PacketError> {
+    let (source, destination, tcp) = slice(packet)?;
+    let step = match (destination, source) {
+        (IpAddr::V4(from), IpAddr::V4(to)) => {
+            PacketBuilder::ipv4(from.octets(), to.octets(), HOP_LIMIT)
+        }
+        (IpAddr::V6(from), IpAddr::V6(to)) => {
+            PacketBuilder::ipv6(from.octets(), to.octets(), HOP_LIMIT)
+        }
+        _ => return Err(PacketError::NotIp),
+    };
+    let ports = (tcp.destination_port(), tcp.source_port());
+    let answer = if tcp.ack() {
+        step.tcp(ports.0, ports.1, tcp.acknowledgment_number(), 0)
+            .rst()
+    } else {
+        acknowledged(step.tcp(ports.0, ports.1, 0, 0).rst(), &tcp)
+    };
+    let mut buf = Vec::with_capacity(answer.size(0));
+    answer
+        .write(&mut buf, &[])
+        .map_err(|_e| PacketError::NotIp)?;
+    Ok(buf)
+}
+
+fn acknowledged(
+    answer: PacketBuilderStep<TcpHeader>,
+    tcp: &TcpSlice<'_>,
+) -> PacketBuilderStep<TcpHeader> {
+    let payload = u32::try_from(tcp.payload().len()).unwrap_or(0);
+    let length = payload + u32::from(tcp.syn()) + u32::from(tcp.fin());
+    answer.ack(tcp.sequence_number().wrapping_add(length))
+}
--- /dev/null
+++ b/crates/plantainquay_net/src/seal.rs
@@ -0,0 +1,151 @@
+//! Signed datagrams between the system's processes.
+//!
+//! Layout: kind (1 byte), key id (1), tag (8), header length (2, big-endian), header, payload.
+//! The tag is SipHash-2-4 under the key over kind, key id and everything after the tag. A
+//! datagram whose tag is wrong is not looked at any further.
+
+use plantainquay_schema::{AgentMessage, Key, TunnelError, TunnelHeader, wire};
+use prost::Message;
+use siphasher::sip::SipHasher24;
+use thiserror::Error;
+
+const KIND_TUNNEL: u8 = 1;
+const KIND_AGENT: u8 = 2;
+const TAG_START: usize = 2;
+const TAG_END: usize = 10;
+const PREFIX_BYTES: usize = 12;
+
+/// Signs with the first key and verifies with each of them.
+#[derive(Clone, Debug)]
+pub struct Sealer {
+    keys: Vec<Key>,
+}
+
+/// A datagram whose signature is right.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Opened<'a> {
+    /// A packet in the tunnel.
+    Tunnel(TunnelHeader, &'a [u8]),
+    /// A message between agents.
+    Agent(AgentMessage),
+}
+
+/// Why a datagram is refused.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum SealError {
+    /// It ends before its header does.
+    #[error("datagram is cut short")]
+    Truncated,
+    /// No key has its id.
+    #[error("no key {0}")]
+    UnknownKey(u8),
+    /// Its tag doesn't match its content.
+    #[error("wrong signature")]
+    WrongTag,
+    /// It is of no known kind.
+    #[error("unknown kind {0}")]
+    UnknownKind(u8),
+    /// Its header can't be decoded.
+    #[error("malformed header: {0}")]
+    Malformed(#[from] prost::DecodeError),
+    /// Its header breaks a rule.
+    #[error("wrong header: {0}")]
+    Header(#[from] TunnelError),
+    /// No key to sign with.
+    #[error("no key to sign with")]
+    NoKey,
+}
+
+impl Sealer {
+    /// Signs with the first of `keys`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no key.
+    pub fn new(keys: &[Key]) -> Result<Self, SealError> {
+        if keys.is_empty() {
+            return Err(SealError::NoKey);
+        }
+        Ok(Self {
+            keys: keys.to_vec(),
+        })
+    }
+
+    /// Writes a signed tunnel datagram into `buf`, which is cleared first.
+    pub fn seal_tunnel(&self, header: &TunnelHeader, packet: &[u8], buf: &mut Vec<u8>) {
+        self.seal(
+            KIND_TUNNEL,
+            &wire::tunnel::TunnelHeader::from(header),
+            packet,
+            buf,
+        );
+    }
+
+    /// Writes a signed message into `buf`, which is cleared first.
+    pub fn seal_agent(&self, message: &AgentMessage, buf: &mut Vec<u8>) {
+        self.seal(
+            KIND_AGENT,
+            &wire::peer::AgentMessage::from(message),
+            &[],
+            buf,
+        );
+    }
+
+    /// Checks and decodes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the datagram is refused.
+    pub fn open<'a>(&self, datagram: &'a [u8]) -> Result<Opened<'a>, SealError> {
+        let (prefix, rest) = datagram
+            .split_at_checked(PREFIX_BYTES)
+            .ok_or(SealError::Truncated)?;
+        let key = self.keys.iter().find(|key| key.id.0 == prefix[1]);
+        let key = key.ok_or(SealError::UnknownKey(prefix[1]))?;
+        if prefix[TAG_START..TAG_END] != tag(key, datagram) {
+            return Err(SealError::WrongTag);
+        }
+        let header_bytes = usize::from(u16::from_be_bytes([prefix[10], prefix[11]]));
+        let (header, payload) = rest
+            .split_at_checked(header_bytes)
+            .ok_or(SealError::Truncated)?;
+        match prefix[0] {
+            KIND_TUNNEL => {
+                let header = wire::tunnel::TunnelHeader::decode(header)?;
+                Ok(Opened::Tunnel(header.try_into()?, payload))
+            }
+            KIND_AGENT => {
+                let message = wire::peer::AgentMessage::decode(header)?;
+                Ok(Opened::Agent(message.try_into()?))
+            }
+            kind => Err(SealError::UnknownKind(kind)),
+        }
+    }
+
+    fn seal(&self, kind: u8, header: &impl Message, payload: &[u8], buf: &mut Vec<u8>) {
+        let key = &self.keys[0];
+        buf.clear();
+        buf.extend_from_slice(&[kind, key.id.0]);
+        buf.extend_from_slice(&[0; TAG_END - TAG_START]);
+        let header_bytes = u16::try_from(header.encoded_len()).unwrap_or(u16::MAX);
+        buf.extend_from_slice(&header_bytes.to_be_bytes());
+        buf.extend_from_slice(&header.encode_to_vec());
+        buf.extend_from_slice(payload);
+        let tag = tag(key, buf);
+        buf[TAG_START..TAG_END].copy_from_slice(&tag);
+    }
+}
+
+fn tag(key: &Key, datagram: &[u8]) -> [u8; TAG_END - TAG_START] {
+    let hasher = SipHasher24::new_with_key(&key.secret);
+    let signed = [&datagram[..TAG_START], &datagram[TAG_END..]];
+    hash_parts(hasher, signed).to_le_bytes()
+}
+
+fn hash_parts(mut hasher: SipHasher24, parts: [&[u8]; 2]) -> u64 {
+    use std::hash::Hasher;
+    for part in parts {
+        hasher.write(part);
+    }
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/plantainquay_net/src/tcp_endpoint.rs
@@ -0,0 +1,287 @@
+//! One end of one TCP flow inside the tunnel.
+//!
+//! Each flow has an interface and a socket set of its own: a poll looks at every socket of its
+//! set, so that a shared set costs time for each flow that it holds.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use plantainquay_core::{FiveTuple, Timestamp};
+use smallvec::SmallVec;
+use smoltcp::iface::{Config, Interface, SocketHandle, SocketSet};
+use smoltcp::phy::{Device, DeviceCapabilities, Medium, RxToken, TxToken};
+use smoltcp::socket::tcp::{self, State};
+use smoltcp::time::{Duration, Instant};
+use smoltcp::wire::{HardwareAddress, IpAddress, IpCidr};
+
+/// Packets that an endpoint sends.
+pub type Packets = SmallVec<[Vec<u8>; 2]>;
+
+/// Largest IP packet inside the tunnel, in bytes; leaves room for the outer headers.
+const MTU: usize = 1_400;
+const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+const SEND_BUFFER_BYTES: usize = 32 << 10;
+/// Interval of probes on a silent flow.
+const KEEP_ALIVE: Duration = Duration::from_secs(15);
+/// Time without an answer after which a flow is given up.
+const SILENCE: Duration = Duration::from_secs(60);
+
+/// What a read found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Received {
+    /// So many bytes.
+    Bytes(usize),
+    /// No byte yet.
+    Nothing,
+    /// The other end has closed, and every byte was read.
+    Finished,
+    /// The flow was reset.
+    Reset,
+}
+
+/// One end of one TCP flow.
+pub struct TcpEndpoint {
+    iface: Interface,
+    sockets: SocketSet<'static>,
+    handle: SocketHandle,
+}
+
+impl TcpEndpoint {
+    /// An endpoint that awaits the opening packet of `tuple` at its destination.
+    #[must_use]
+    pub fn listen(tuple: &FiveTuple, seed: u64, now: Timestamp) -> Self {
+        let mut endpoint = Self::new(tuple.destination, seed, now);
+        let local = (
+            IpAddress::from(tuple.destination.ip()),
+            tuple.destination.port(),
+        );
+        let listening = endpoint.socket().listen(local);
+        debug_assert!(listening.is_ok(), "a new socket can listen on a port");
+        endpoint
+    }
+
+    /// An endpoint that opens `tuple` from its source.
+    #[must_use]
+    pub fn connect(tuple: &FiveTuple, seed: u64, now: Timestamp) -> Self {
+        let mut endpoint = Self::new(tuple.source, seed, now);
+        let Self {
+            iface,
+            sockets,
+            handle,
+        } = &mut endpoint;
+        let remote = (
+            IpAddress::from(tuple.destination.ip()),
+            tuple.destination.port(),
+        );
+        let local = (IpAddress::from(tuple.source.ip()), tuple.source.port());
+        let socket = sockets.get_mut::<tcp::Socket<'_>>(*handle);
+        let connecting = socket.connect(iface.context(), remote, local);
+        debug_assert!(connecting.is_ok(), "a new socket can connect to a port");
+        endpoint
+    }
+
+    /// The same endpoint without the timestamp option.
+    #[must_use]
+    pub fn without_timestamps(mut self) -> Self {
+        self.socket().set_tsval_generator(None);
+        self
+    }
+
+    fn new(own: SocketAddr, seed: u64, now: Timestamp) -> Self {
+        let mut config = Config::new(HardwareAddress::Ip);
+        config.random_seed = seed;
+        let mut idle = LentDevice {
+            received: None,
+            sent: &mut Packets::new(),
+        };
+        let mut iface = Interface::new(config, &mut idle, to_instant(now));
+        let address = IpAddress::from(own.ip());
+        let prefix_bits = if own.is_ipv4() { 32 } else { 128 };
+        iface.update_ip_addrs(|addresses| {
+            let pushed = addresses.push(IpCidr::new(address, prefix_bits));
+            debug_assert!(pushed.is_ok(), "an interface holds one address");
+        });
+        add_default_route(&mut iface, address);
+        let mut sockets = SocketSet::new(Vec::with_capacity(1));
+        let handle = sockets.add(new_socket());
+        Self {
+            iface,
+            sockets,
+            handle,
+        }
+    }
+
+    /// Takes in a packet and returns what is sent at once.
+    pub fn deliver(&mut self, now: Timestamp, packet: &[u8]) -> Packets {
+        self.run(now, Some(packet))
+    }
+
+    /// Returns what is due to be sent.
+    pub fn poll(&mut self, now: Timestamp) -> Packets {
+        self.run(now, None)
+    }
+
+    /// When [`Self::poll`] has something to do again, if ever.
+    pub fn poll_at(&mut self, now: Timestamp) -> Option<Timestamp> {
+        let due = self.iface.poll_at(to_instant(now), &self.sockets)?;
+        Some(Timestamp(u64::try_from(due.total_micros()).unwrap_or(0)))
+    }
+
+    /// Reads received bytes into `buf`.
+    pub fn recv(&mut self, buf: &mut [u8]) -> Received {
+        match self.socket().recv_slice(buf) {
+            Ok(0) => Received::Nothing,
+            Ok(bytes) => Received::Bytes(bytes),
+            Err(tcp::RecvError::Finished) => Received::Finished,
+            Err(tcp::RecvError::InvalidState) if self.is_closed() => Received::Reset,
+            Err(tcp::RecvError::InvalidState) => Received::Nothing,
+        }
+    }
+
+    /// Queues bytes; returns how many fitted.
+    pub fn send(&mut self, buf: &[u8]) -> usize {
+        self.socket().send_slice(buf).unwrap_or(0)
+    }
+
+    /// Sends no more after what is queued.
+    pub fn close(&mut self) {
+        self.socket().close();
+    }
+
+    /// Ends the flow at once with a reset.
+    pub fn abort(&mut self) {
+        self.socket().abort();
+    }
+
+    /// Whether bytes can be queued now, or later once the handshake is finished.
+    pub fn may_send(&mut self) -> bool {
+        let opening = !self.is_established() && !self.is_closed();
+        opening || self.socket().may_send()
+    }
+
+    /// Whether the handshake is finished.
+    pub fn is_established(&mut self) -> bool {
+        !matches!(
+            self.socket().state(),
+            State::Listen | State::SynReceived | State::SynSent | State::Closed
+        )
+    }
+
+    /// Whether both ends have closed and only late packets are awaited.
+    pub fn is_time_wait(&mut self) -> bool {
+        self.socket().state() == State::TimeWait
+    }
+
+    /// Whether the flow is over.
+    pub fn is_closed(&mut self) -> bool {
+        self.socket().state() == State::Closed
+    }
+
+    fn socket(&mut self) -> &mut tcp::Socket<'static> {
+        self.sockets.get_mut(self.handle)
+    }
+
+    fn run(&mut self, now: Timestamp, received: Option<&[u8]>) -> Packets {
+        let mut sent = Packets::new();
+        let mut device = LentDevice {
+            received,
+            sent: &mut sent,
+        };
+        self.iface
+            .poll(to_instant(now), &mut device, &mut self.sockets);
+        sent
+    }
+}
+
+impl fmt::Debug for TcpEndpoint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("TcpEndpoint").finish_non_exhaustive()
+    }
+}
+
+fn new_socket() -> tcp::Socket<'static> {
+    let receive = tcp::SocketBuffer::new(vec![0; RECEIVE_BUFFER_BYTES]);
+    let send = tcp::SocketBuffer::new(vec![0; SEND_BUFFER_BYTES]);
+    let mut socket = tcp::Socket::new(receive, send);
+    // The value is replaced by the tag on the way out; only the option's presence counts here.
+    socket.set_tsval_generator(Some(|| 1));
+    socket.set_nagle_enabled(false);
+    socket.set_ack_delay(None);
+    socket.set_keep_alive(Some(KEEP_ALIVE));
+    socket.set_timeout(Some(SILENCE));
+    socket
+}
+
+/// A route is needed for any remote address to count as reachable; its gateway is never used.
+fn add_default_route(iface: &mut Interface, address: IpAddress) {
+    let routes = iface.routes_mut();
+    let added = match address {
+        IpAddress::Ipv4(gateway) => routes.add_default_ipv4_route(gateway).is_ok(),
+        IpAddress::Ipv6(gateway) => routes.add_default_ipv6_route(gateway).is_ok(),
+    };
+    debug_assert!(added, "a new interface holds one route");
+}
+
+fn to_instant(now: Timestamp) -> Instant {
+    Instant::from_micros(i64::try_from(now.0).unwrap_or(i64::MAX))
+}
+
+// ---------------------------------------------------------------------------
+// The device that is lent for one poll
+
+struct LentDevice<'a> {
+    received: Option<&'a [u8]>,
+    sent: &'a mut Packets,
+}
+
+struct ReceivedPacket<'a>(&'a [u8]);
+
+struct Sent<'a>(&'a mut Packets);
+
+impl Device for LentDevice<'_> {
+    type RxToken<'b>
+        = ReceivedPacket<'b>
+    where
+        Self: 'b;
+    type TxToken<'b>
+        = Sent<'b>
+    where
+        Self: 'b;
+
+    fn receive(&mut self, _timestamp: Instant) -> Option<(ReceivedPacket<'_>, Sent<'_>)> {
+        let packet = self.received.take()?;
+        Some((ReceivedPacket(packet), Sent(self.sent)))
+    }
+
+    fn transmit(&mut self, _timestamp: Instant) -> Option<Sent<'_>> {
+        Some(Sent(self.sent))
+    }
+
+    fn capabilities(&self) -> DeviceCapabilities {
+        let mut capabilities = DeviceCapabilities::default();
+        capabilities.medium = Medium::Ip;
+        capabilities.max_transmission_unit = MTU;
+        capabilities
+    }
+}
+
+impl RxToken for ReceivedPacket<'_> {
+    fn consume<R, F>(self, f: F) -> R
+    where
+        F: FnOnce(&[u8]) -> R,
+    {
+        f(self.0)
+    }
+}
+
+impl TxToken for Sent<'_> {
+    fn consume<R, F>(self, len: usize, f: F) -> R
+    where
+        F: FnOnce(&mut [u8]) -> R,
+    {
+        let mut packet = vec![0; len];
+        let result = f(&mut packet);
+        self.0.push(packet);
+        result
+    }
+}
--- /dev/null
+++ b/crates/plantainquay_schema/src/agent_message.rs
@@ -0,0 +1,89 @@
+//! Control datagrams between agents of one service.
+
+use crate::tunnel::upstream_number;
+use crate::{FlowId, Generation, Incarnation, Load, ServiceId, TunnelError, UpstreamNumber, wire};
+
+/// One control datagram.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentMessage {
+    /// Service that both agents belong to.
+    pub service: ServiceId,
+    /// The sender.
+    pub from: UpstreamNumber,
+    /// The sender's life.
+    pub incarnation: Incarnation,
+    /// Generation that the sender has in force.
+    pub generation: Generation,
+    /// What it says.
+    pub body: AgentMessageBody,
+}
+
+/// What a control datagram says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AgentMessageBody {
+    /// The sender's load; the receiver answers with its own.
+    Query(Load),
+    /// The sender's load.
+    Load(Load),
+    /// Flows that the sender holds although the table names the receiver.
+    Held(Vec<FlowId>),
+    /// Flows of an earlier `Held` that have ended.
+    Released(Vec<FlowId>),
+}
+
+impl From<&AgentMessage> for wire::peer::AgentMessage {
+    fn from(message: &AgentMessage) -> Self {
+        Self {
+            service: message.service.0,
+            from_upstream: u32::from(message.from.get()),
+            incarnation: message.incarnation.0,
+            generation: message.generation.0,
+            body: Some(wire_body(&message.body)),
+        }
+    }
+}
+
+impl TryFrom<wire::peer::AgentMessage> for AgentMessage {
+    type Error = TunnelError;
+
+    fn try_from(message: wire::peer::AgentMessage) -> Result<Self, TunnelError> {
+        Ok(Self {
+            service: ServiceId(message.service),
+            from: upstream_number(message.from_upstream)?,
+            incarnation: Incarnation(message.incarnation),
+            generation: Generation(message.generation),
+            body: domain_body(message.body),
+        })
+    }
+}
+
+fn wire_body(body: &AgentMessageBody) -> wire::peer::agent_message::Body {
+    use wire::peer::agent_message::Body;
+    match body {
+        AgentMessageBody::Query(load) => Body::Query((*load).into()),
+        AgentMessageBody::Load(load) => Body::Load((*load).into()),
+        AgentMessageBody::Held(flows) => Body::Held(wire_flows(flows)),
+        AgentMessageBody::Released(flows) => Body::Released(wire_flows(flows)),
+    }
+}
+
+fn domain_body(body: Option<wire::peer::agent_message::Body>) -> AgentMessageBody {
+    use wire::peer::agent_message::Body;
+    match body {
+        Some(Body::Query(load)) => AgentMessageBody::Query(load.into()),
+        Some(Body::Load(load)) => AgentMessageBody::Load(load.into()),
+        Some(Body::Held(held)) => AgentMessageBody::Held(domain_flows(held)),
+        Some(Body::Released(held)) => AgentMessageBody::Released(domain_flows(held)),
+        None => AgentMessageBody::Held(Vec::new()),
+    }
+}
+
+fn wire_flows(flows: &[FlowId]) -> wire::peer::HeldFlows {
+    wire::peer::HeldFlows {
+        flows: flows.iter().map(|flow| flow.0).collect(),
+    }
+}
+
+fn domain_flows(held: wire::peer::HeldFlows) -> Vec<FlowId> {
+    held.flows.into_iter().map(FlowId).collect()
+}
--- /dev/null
+++ b/crates/plantainquay_schema/src/document/check_service.rs
@@ -0,0 +1,297 @@
+//! Checks of one service.
+
+use std::collections::{HashMap, HashSet};
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use super::check::{check_unique_name, parse_number};
+use super::{
+    Limit, Listener, ListenerMode, Member, Resource, Service, Upstream, UpstreamState, WorkClass,
+};
+use crate::{Faults, Name, ServiceId, wire};
+
+/// Environment facts of one service.
+#[derive(Debug, Default)]
+pub(super) struct ServiceFacts {
+    addresses: Vec<IpAddr>,
+    upstreams: HashMap<u32, UpstreamFact>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct UpstreamFact {
+    agent: SocketAddr,
+    endpoint: SocketAddr,
+    state: UpstreamState,
+}
+
+impl ServiceFacts {
+    /// Groups the facts by the name of their service.
+    pub(super) fn by_service<'a>(
+        facts: &'a wire::document::Facts,
+        faults: &mut Faults,
+    ) -> HashMap<&'a str, Self> {
+        let mut grouped: HashMap<&str, Self> = HashMap::new();
+        for (i, fact) in facts.addresses.iter().enumerate() {
+            let parsed = parse_ip(&fact.address);
+            let address = faults.take(format!("facts.addresses[{i}].address"), parsed);
+            let service = grouped.entry(&fact.service).or_default();
+            service.addresses.extend(address);
+        }
+        for (i, fact) in facts.upstreams.iter().enumerate() {
+            let path = format!("facts.upstreams[{i}]");
+            let checked = check_upstream_fact(fact, &path, faults);
+            let service = grouped.entry(&fact.service).or_default();
+            let replaced = checked.and_then(|fact_| service.upstreams.insert(fact.number, fact_));
+            let reason = format!("upstream {} is given twice", fact.number);
+            faults.require(replaced.is_none(), format!("{path}.number"), reason);
+        }
+        grouped
+    }
+}
+
+fn check_upstream_fact(
+    fact: &wire::document::UpstreamFact,
+    path: &str,
+    faults: &mut Faults,
+) -> Option<UpstreamFact> {
+    let agent = faults.take(format!("{path}.agent"), parse_socket(&fact.agent));
+    let endpoint = faults.take(format!("{path}.endpoint"), parse_socket(&fact.endpoint));
+    let state = faults.take(format!("{path}.state"), parse_state(&fact.state));
+    Some(UpstreamFact {
+        agent: agent?,
+        endpoint: endpoint?,
+        state: state?,
+    })
+}
+
+/// Checks one service; the result is whole only when no fault was added.
+pub(super) fn check_service(
+    service: &wire::document::Service,
+    facts: &ServiceFacts,
+    data_centres: &[Name],
+    members: &[Member],
+    path: &str,
+    faults: &mut Faults,
+) -> Option<Service> {
+    faults.require(
+        !service.name.is_empty(),
+        format!("{path}.name"),
+        "must be named",
+    );
+    let addressed = !facts.addresses.is_empty();
+    let reason = format!("no address for service `{}`", service.name);
+    faults.require(addressed, "facts.addresses", reason);
+    let listeners = check_listeners(service, path, faults);
+    let classes = check_classes(service, path, faults);
+    let limits = check_limits(service, members, path, faults);
+    let upstreams = check_upstreams(service, facts, data_centres, path, faults);
+    Some(Service {
+        id: ServiceId::of(&service.name),
+        name: service.name.as_str().into(),
+        addresses: facts.addresses.clone(),
+        listeners,
+        classes,
+        limits,
+        upstreams,
+    })
+}
+
+fn check_listeners(
+    service: &wire::document::Service,
+    path: &str,
+    faults: &mut Faults,
+) -> Vec<Listener> {
+    let some = !service.listeners.is_empty();
+    faults.require(some, format!("{path}.listeners"), "must not be empty");
+    let mut ports = HashSet::new();
+    let mut listeners = Vec::with_capacity(service.listeners.len());
+    for (i, listener) in service.listeners.iter().enumerate() {
+        let path = format!("{path}.listeners[{i}]");
+        let port = faults.take(format!("{path}.port"), parse_port(listener.port));
+        let fresh = ports.insert(listener.port);
+        let reason = format!("{} is given twice", listener.port);
+        faults.require(fresh, format!("{path}.port"), reason);
+        let tcp = listener.protocol == "tcp";
+        faults.require(tcp, format!("{path}.protocol"), "must be `tcp`");
+        let mode = faults.take(format!("{path}.mode"), parse_mode(&listener.mode));
+        listeners.extend(port.zip(mode).map(|(port, mode)| Listener { port, mode }));
+    }
+    listeners
+}
+
+fn check_classes(
+    service: &wire::document::Service,
+    path: &str,
+    faults: &mut Faults,
+) -> Vec<WorkClass> {
+    let has_requests = service.listeners.iter().any(|l| l.mode == "request");
+    let classless = has_requests && service.classes.is_empty();
+    let reason = "a service with a `request` listener needs a class";
+    faults.require(!classless, format!("{path}.classes"), reason);
+    let mut names = HashSet::new();
+    let mut prefixes = HashSet::new();
+    let mut classes = Vec::with_capacity(service.classes.len());
+    for (i, class) in service.classes.iter().enumerate() {
+        let path = format!("{path}.classes[{i}]");
+        check_unique_name(&class.name, &mut names, &format!("{path}.name"), faults);
+        let rooted = class.path_prefix.starts_with('/');
+        faults.require(rooted, format!("{path}.path_prefix"), "must start with `/`");
+        let fresh = prefixes.insert(class.path_prefix.as_str());
+        let reason = format!("`{}` is given twice", class.path_prefix);
+        faults.require(fresh, format!("{path}.path_prefix"), reason);
+        let timed = class.deadline_ms >= 1;
+        faults.require(timed, format!("{path}.deadline_ms"), "must be at least 1");
+        classes.push(WorkClass {
+            name: class.name.as_str().into(),
+            path_prefix: class.path_prefix.as_str().into(),
+            long: class.long,
+            idempotent: class.idempotent,
+            deadline: Duration::from_millis(class.deadline_ms),
+        });
+    }
+    classes
+}
+
+fn check_limits(
+    service: &wire::document::Service,
+    members: &[Member],
+    path: &str,
+    faults: &mut Faults,
+) -> Vec<Limit> {
+    let mut seen = HashSet::new();
+    let mut limits = Vec::with_capacity(service.limits.len());
+    for (i, limit) in service.limits.iter().enumerate() {
+        let path = format!("{path}.limits[{i}]");
+        let known = members.iter().any(|m| m.name.as_str() == limit.member);
+        let reason = format!("no member `{}`", limit.member);
+        faults.require(known, format!("{path}.member"), reason);
+        check_limit_class(service, limit, &path, faults);
+        let fresh = seen.insert((&limit.member, &limit.class, &limit.resource));
+        faults.require(fresh, path.as_str(), "the same limit is given twice");
+        let resource = faults.take(format!("{path}.resource"), parse_resource(&limit.resource));
+        limits.extend(resource.map(|resource| Limit {
+            member: limit.member.as_str().into(),
+            class: (!limit.class.is_empty()).then(|| limit.class.as_str().into()),
+            resource,
+            amount: limit.amount,
+        }));
+    }
+    limits
+}
+
+fn check_limit_class(
+    service: &wire::document::Service,
+    limit: &wire::document::Limit,
+    path: &str,
+    faults: &mut Faults,
+) {
+    let path = format!("{path}.class");
+    if limit.resource == "open_flows" {
+        let reason = "a limit on open flows has no class";
+        faults.require(limit.class.is_empty(), path, reason);
+        return;
+    }
+    let known = service.classes.iter().any(|c| c.name == limit.class);
+    faults.require(known, path, format!("no class `{}`", limit.class));
+}
+
+fn check_upstreams(
+    service: &wire::document::Service,
+    facts: &ServiceFacts,
+    data_centres: &[Name],
+    path: &str,
+    faults: &mut Faults,
+) -> Vec<Upstream> {
+    let some = !service.upstreams.is_empty();
+    faults.require(some, format!("{path}.upstreams"), "must not be empty");
+    let mut names = HashSet::new();
+    let mut numbers = HashSet::new();
+    let mut upstreams = Vec::with_capacity(service.upstreams.len());
+    for (i, upstream) in service.upstreams.iter().enumerate() {
+        let path = format!("{path}.upstreams[{i}]");
+        check_unique_name(&upstream.name, &mut names, &format!("{path}.name"), faults);
+        let fresh = numbers.insert(upstream.number);
+        let reason = format!("{} is given twice", upstream.number);
+        faults.require(fresh, format!("{path}.number"), reason);
+        let placed = data_centres
+            .iter()
+            .any(|d| d.as_str() == upstream.data_centre);
+        let reason = format!("no data centre `{}`", upstream.data_centre);
+        faults.require(placed, format!("{path}.data_centre"), reason);
+        let reason = "must be at least 1";
+        faults.require(upstream.slots >= 1, format!("{path}.slots"), reason);
+        faults.require(
+            upstream.connections >= 1,
+            format!("{path}.connections"),
+            reason,
+        );
+        upstreams.extend(check_upstream(upstream, facts, &path, faults));
+    }
+    upstreams.sort_by_key(|u| u.number);
+    upstreams
+}
+
+fn check_upstream(
+    upstream: &wire::document::Upstream,
+    facts: &ServiceFacts,
+    path: &str,
+    faults: &mut Faults,
+) -> Option<Upstream> {
+    let number = faults.take(format!("{path}.number"), parse_number(upstream.number));
+    let fact = facts.upstreams.get(&upstream.number);
+    let reason = "facts.upstreams gives no agent and endpoint for it";
+    faults.require(fact.is_some(), path, reason);
+    let fact = fact?;
+    Some(Upstream {
+        number: number?,
+        name: upstream.name.as_str().into(),
+        data_centre: upstream.data_centre.as_str().into(),
+        slots: upstream.slots,
+        connections: upstream.connections,
+        agent: fact.agent,
+        endpoint: fact.endpoint,
+        state: fact.state,
+    })
+}
+
+fn parse_ip(text: &str) -> Result<IpAddr, String> {
+    text.parse()
+        .map_err(|_e| format!("`{text}` is not an IP address"))
+}
+
+fn parse_socket(text: &str) -> Result<SocketAddr, String> {
+    text.parse()
+        .map_err(|_e| format!("`{text}` is not `ip:port`"))
+}
+
+fn parse_port(port: u32) -> Result<u16, String> {
+    match u16::try_from(port) {
+        Ok(port) if port > 0 => Ok(port),
+        _ => Err("must be 1 to 65535".to_owned()),
+    }
+}
+
+fn parse_mode(text: &str) -> Result<ListenerMode, String> {
+    match text {
+        "flow" => Ok(ListenerMode::Flow),
+        "request" => Ok(ListenerMode::Request),
+        _ => Err("must be `flow` or `request`".to_owned()),
+    }
+}
+
+fn parse_state(text: &str) -> Result<UpstreamState, String> {
+    match text {
+        "" | "serving" => Ok(UpstreamState::Serving),
+        "draining" => Ok(UpstreamState::Draining),
+        _ => Err("must be `serving` or `draining`".to_owned()),
+    }
+}
+
+fn parse_resource(text: &str) -> Result<Resource, String> {
+    match text {
+        "concurrent_requests" => Ok(Resource::ConcurrentRequests),
+        "open_flows" => Ok(Resource::OpenFlows),
+        "requests_per_second" => Ok(Resource::RequestsPerSecond),
+        _ => Err("must be `concurrent_requests`, `open_flows` or `requests_per_second`".to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/plantainquay_schema/src/lib.rs
@@ -0,0 +1,33 @@
+//! Messages, settings and the operators' document.
+//!
+//! Everything that crosses a process boundary is described in `proto/` and generated into
+//! [`wire`]. Each wire type has a checked domain type beside it, reached by `TryFrom`; the rest
+//! of the system works with domain types only.
+//!
+//! ```
+//! use plantainquay_schema::Document;
+//!
+//! let faults = Document::from_yaml("environment: trial\ngeneration: 0\n").unwrap_err();
+//! assert!(faults.to_string().contains("generation: must be at least 1"));
+//! ```
+
+mod agent_message;
+mod document;
+mod fault;
+mod ids;
+mod name;
+mod settings;
+mod tunnel;
+pub mod wire;
+mod yaml;
+
+pub use agent_message::{AgentMessage, AgentMessageBody};
+pub use document::{
+    Digest, Document, Limit, Listener, ListenerMode, Member, Resource, Service, Upstream,
+    UpstreamState, WorkClass,
+};
+pub use fault::{Fault, Faults};
+pub use ids::{FlowId, Generation, Incarnation, ServiceId, UpstreamNumber};
+pub use name::Name;
+pub use settings::{AgentSettings, Key, KeyId, Platform, Role, Settings};
+pub use tunnel::{Load, TriedUpstreams, TunnelError, TunnelHeader};
--- /dev/null
+++ b/crates/plantainquay_schema/src/wire.rs
@@ -0,0 +1,43 @@
+//! Generated wire types; `cargo xtask codegen` renews them.
+#![allow(
+    clippy::pedantic,
+    clippy::clone_on_ref_ptr,
+    clippy::allow_attributes_without_reason,
+    missing_docs,
+    reason = "generated code"
+)]
+
+/// The operators' document.
+pub mod document {
+    include!("generated/plantainquay.document.rs");
+}
+
+/// Settings of a daemon.
+pub mod settings {
+    include!("generated/plantainquay.settings.rs");
+}
+
+/// The tunnel's header.
+pub mod tunnel {
+    include!("generated/plantainquay.tunnel.rs");
+}
+
+/// Messages between the system's processes.
+pub mod peer {
+    include!("generated/plantainquay.peer.rs");
+}
+
+/// What a daemon says of itself.
+pub mod status {
+    include!("generated/plantainquay.status.rs");
+}
+
+/// The platform's list of instances.
+pub mod platform {
+    include!("generated/plantainquay.platform.rs");
+}
+
+/// Settings and reports of stand-ins.
+pub mod stand_in {
+    include!("generated/plantainquay.stand_in.rs");
+}
--- /dev/null
+++ b/crates/plantainquayd/src/daemon.rs
@@ -0,0 +1,186 @@
+//! The life of one daemon: start, serve, drain, end.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use anyhow::Context;
+use log::{Level, LevelFilter};
+use ntex::time::{Millis, sleep};
+use plantainquay_core::Documents;
+use plantainquay_net::{
+    Clock, DocumentStore, HttpState, event, init_metrics, serve_http, watch_configuration,
+};
+use plantainquay_schema::wire::status::Status;
+use plantainquay_schema::{Role, Settings};
+use simplelog::{ConfigBuilder, SimpleLogger};
+use tokio::runtime::Runtime;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::oneshot;
+
+use crate::role::RoleRuntime;
+
+/// Why a daemon ended before its time.
+pub type DaemonError = anyhow::Error;
+
+/// Interval at which a leaving daemon looks whether it is idle.
+const DRAIN_CHECK: Millis = Millis(50);
+
+/// Runs one daemon until it was told to leave and has drained.
+///
+/// # Errors
+///
+/// Fails when a socket can't be bound or the runtime can't start.
+pub fn run(settings: Settings) -> Result<(), DaemonError> {
+    init_log(&settings)?;
+    let metrics = init_metrics().context("metrics")?;
+    let clock = Clock::start();
+    let threads = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .enable_all()
+        .build()
+        .context("threads")?;
+    let role = RoleRuntime::start(&settings, clock, threads.handle())?;
+    let store = Arc::new(document_store(&role, clock));
+    let leaving = Arc::new(AtomicBool::new(false));
+    let http = Arc::new(HttpState {
+        status: status_source(&settings, &role, &store, &leaving),
+        refresh_metrics: metrics_source(&role),
+        metrics,
+    });
+    let terminated = await_sigterm(&threads)?;
+    let system = ntex::rt::System::build()
+        .name(settings.instance.as_str())
+        .disable_signals()
+        .build(ntex::rt::DefaultRuntime);
+    system.block_on(async move {
+        let servers = role.serve_requests()?;
+        let http = serve_http(settings.http, http).context("http")?;
+        ntex::rt::spawn(watch_configuration(settings.platform.clone(), store));
+        log_start(&settings);
+        // A sender that is gone can't tell of a signal any more: leave as well.
+        let _told = terminated.await;
+        leaving.store(true, Ordering::Relaxed);
+        drain(&role, settings.drain, clock).await;
+        for server in servers {
+            server.stop(true).await;
+        }
+        http.stop(true).await;
+        event(Level::Info, "stopped", &[("instance", &settings.instance)]);
+        anyhow::Ok(())
+    })
+}
+
+fn init_log(settings: &Settings) -> Result<(), DaemonError> {
+    let level = match settings.log_level.as_str() {
+        "error" => LevelFilter::Error,
+        "warn" => LevelFilter::Warn,
+        "debug" => LevelFilter::Debug,
+        _ => LevelFilter::Info,
+    };
+    // The line itself carries the level; the logger adds the time alone.
+    let config = ConfigBuilder::new()
+        .add_filter_allow_str("plantainquay")
+        .set_max_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_target_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .build();
+    SimpleLogger::init(level, config).context("log")
+}
+
+fn document_store(role: &Arc<RoleRuntime>, clock: Clock) -> DocumentStore {
+    let role = Arc::clone(role);
+    DocumentStore::new(clock, move |now, document| role.install(now, document))
+}
+
+fn status_source(
+    settings: &Settings,
+    role: &Arc<RoleRuntime>,
+    store: &Arc<DocumentStore>,
+    leaving: &Arc<AtomicBool>,
+) -> Box<dyn Fn() -> Status + Send + Sync> {
+    let role = Arc::clone(role);
+    let store = Arc::clone(store);
+    let leaving = Arc::clone(leaving);
+    let mut own = Status {
+        instance: settings.instance.to_string(),
+        data_centre: settings.data_centre.to_string(),
+        ..Status::default()
+    };
+    match &settings.role {
+        Role::Balancer => "balancer".clone_into(&mut own.role),
+        Role::Agent(agent) => {
+            "agent".clone_into(&mut own.role);
+            own.service = agent.service.to_string();
+            own.upstream = u32::from(agent.upstream.get());
+        }
+    }
+    Box::new(move || {
+        let mut status = own.clone();
+        store.with(|documents| fill_documents(&mut status, documents));
+        status.leaving = leaving.load(Ordering::Relaxed);
+        role.fill_status(&mut status);
+        status
+    })
+}
+
+fn fill_documents(status: &mut Status, documents: &Documents) {
+    status.generation = documents.generation().0;
+    status.digest = documents
+        .digest()
+        .map(|digest| digest.to_string())
+        .unwrap_or_default();
+    status.conflicts = documents.conflicts();
+    let environment = documents
+        .in_force()
+        .map(|document| document.environment.to_string());
+    status.environment = environment.unwrap_or_default();
+}
+
+fn metrics_source(role: &Arc<RoleRuntime>) -> Box<dyn Fn() + Send + Sync> {
+    let role = Arc::clone(role);
+    Box::new(move || role.refresh_metrics())
+}
+
+/// Resolves once the process was asked to end.
+fn await_sigterm(threads: &Runtime) -> io::Result<oneshot::Receiver<()>> {
+    let _entered = threads.enter();
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let (tx, rx) = oneshot::channel();
+    threads.spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        // The receiver lives until the process ends.
+        let _sent = tx.send(());
+    });
+    Ok(rx)
+}
+
+/// Takes nothing new and waits for what is open.
+async fn drain(role: &RoleRuntime, longest: Duration, clock: Clock) {
+    event(Level::Info, "draining", &[]);
+    role.leave();
+    let end = clock.now() + longest;
+    while !role.is_idle() && clock.now() < end {
+        sleep(DRAIN_CHECK).await;
+    }
+    event(Level::Info, "drained", &[("idle", &role.is_idle())]);
+}
+
+fn log_start(settings: &Settings) {
+    let role = match settings.role {
+        Role::Balancer => "balancer",
+        Role::Agent(_) => "agent",
+    };
+    let pairs: [(&str, &dyn std::fmt::Display); 3] = [
+        ("role", &role),
+        ("instance", &settings.instance),
+        ("tunnel", &settings.tunnel),
+    ];
+    event(Level::Info, "started", &pairs);
+}
--- /dev/null
+++ b/crates/stand_ins/src/fabric.rs
@@ -0,0 +1,63 @@
+//! The fabric: callers' TCP on one side, sprayed packets on the other.
+//!
+//! Each TCP connection of a caller ends here. Its bytes go on as IP packets, every single one to
+//! a balancer chosen at random, as a fabric may do; replies come back from the agents.
+
+mod balancers;
+mod flows;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anyhow::{Context, Result};
+use plantainquay_net::bind_udp;
+use plantainquay_schema::wire::stand_in::FabricSettings;
+use tokio::net::{TcpListener, UdpSocket};
+
+use balancers::{Balancers, watch_instances};
+use flows::Fabric;
+
+/// Sockets that packets leave from; a balancer's kernel spreads them over its threads by these.
+const SOURCE_SOCKETS: usize = 8;
+const THREADS: usize = 2;
+
+/// Serves the fabric until the process ends.
+///
+/// # Errors
+///
+/// Fails when an address can't be bound.
+pub fn run_fabric(settings: &FabricSettings) -> Result<()> {
+    let threads = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(THREADS)
+        .enable_all()
+        .build()?;
+    let balancers = Arc::new(Balancers::new(settings.seed));
+    let fabric = {
+        let _entered = threads.enter();
+        Arc::new(Fabric::bind(settings, Arc::clone(&balancers))?)
+    };
+    threads.spawn(Arc::clone(&fabric).receive());
+    for listener in &settings.listeners {
+        let destination: SocketAddr = listener.destination.parse().context("destination")?;
+        let listener = threads.block_on(TcpListener::bind(&listener.bind))?;
+        threads.spawn(Arc::clone(&fabric).accept(listener, destination));
+    }
+    let system = ntex::rt::System::build()
+        .name("fabric")
+        .build(ntex::rt::DefaultRuntime);
+    let instances = settings.instances.parse().context("instances")?;
+    system.block_on(watch_instances(instances, balancers));
+    Ok(())
+}
+
+fn bind_sources(settings: &FabricSettings) -> Result<Vec<UdpSocket>> {
+    let mut sockets = Vec::with_capacity(SOURCE_SOCKETS);
+    let own: SocketAddr = settings.udp.parse().context("udp")?;
+    for index in 0..SOURCE_SOCKETS {
+        let port = if index == 0 { own.port() } else { 0 };
+        let socket = bind_udp(SocketAddr::new(own.ip(), port))?;
+        socket.set_nonblocking(true)?;
+        sockets.push(UdpSocket::from_std(socket)?);
+    }
+    Ok(sockets)
+}
--- /dev/null
+++ b/crates/stand_ins/src/fabric/balancers.rs
@@ -0,0 +1,90 @@
+//! The balancers that packets are sprayed over.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ntex::client::Client;
+use ntex::time::{Millis, sleep};
+use parking_lot::Mutex;
+use plantainquay_schema::wire::platform::InstanceList;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const WATCH_TIMEOUT: Millis = Millis(35_000);
+const RETRY: Millis = Millis(100);
+
+/// Live balancers, and the dice that choose among them.
+#[derive(Debug)]
+pub(super) struct Balancers {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    live: Vec<SocketAddr>,
+    rng: StdRng,
+}
+
+impl Balancers {
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            inner: Mutex::new(Inner {
+                live: Vec::new(),
+                rng: StdRng::seed_from_u64(seed),
+            }),
+        }
+    }
+
+    /// A balancer, and a number below `sources`, at random.
+    pub(super) fn choose(&self, sources: usize) -> Option<(SocketAddr, usize)> {
+        let mut inner = self.inner.lock();
+        if inner.live.is_empty() {
+            return None;
+        }
+        let count = inner.live.len();
+        let index = inner.rng.random_range(0..count);
+        let source = inner.rng.random_range(0..sources);
+        Some((inner.live[index], source))
+    }
+
+    /// True in `percent` of a hundred calls.
+    pub(super) fn chance(&self, percent: u32) -> bool {
+        self.inner.lock().rng.random_range(0..100) < percent
+    }
+
+    fn replace(&self, list: &InstanceList) {
+        let balancers = list.instances.iter();
+        let live = balancers.filter(|i| i.role == "balancer" && i.state == "live");
+        self.inner.lock().live = live.filter_map(|i| i.tunnel.parse().ok()).collect();
+    }
+}
+
+/// Follows the list of instances.
+pub(super) async fn watch_instances(address: SocketAddr, balancers: Arc<Balancers>) {
+    let client = Client::new().await;
+    let mut revision = String::new();
+    loop {
+        match fetch(&client, address, &revision).await {
+            Some((list, new_revision)) => {
+                balancers.replace(&list);
+                revision = new_revision;
+            }
+            None => sleep(RETRY).await,
+        }
+    }
+}
+
+async fn fetch(
+    client: &Client,
+    address: SocketAddr,
+    revision: &str,
+) -> Option<(InstanceList, String)> {
+    let request = client.get(format!("http://{address}/v1/instances"));
+    let request = request
+        .header("if-none-match", revision)
+        .timeout(WATCH_TIMEOUT);
+    let response = request.send().await.ok()?;
+    let etag = response.header("etag")?.to_str().ok()?.to_owned();
+    let body = response.body().await.ok()?;
+    Some((serde_json::from_slice(&body).ok()?, etag))
+}
--- /dev/null
+++ b/crates/stand_ins/src/lib.rs
@@ -0,0 +1,15 @@
+//! Small stand-ins for what surrounds plantainquay: the platform, the fabric and upstreams.
+//!
+//! They serve tests and examples only. Each `run_*` function is the whole of one process.
+
+mod caller;
+mod fabric;
+mod platform;
+mod process;
+mod upstream;
+
+pub use caller::{BookingResult, Caller, FeedReport, http_get, http_put};
+pub use fabric::run_fabric;
+pub use platform::run_platform;
+pub use process::{ChildProcess, free_address};
+pub use upstream::{file_bytes, run_upstream};
--- /dev/null
+++ b/crates/stand_ins/src/platform.rs
@@ -0,0 +1,129 @@
+//! The platform: a configuration service and a list of instances.
+//!
+//! The system only reads them, with `GET`; the `PUT`s belong to the test that plays the platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Result;
+use ntex::http::StatusCode;
+use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+/// Longest wait of one watch.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// One value with its revision.
+#[derive(Clone, Debug, Default)]
+struct Value {
+    revision: u64,
+    text: String,
+}
+
+#[derive(Debug)]
+struct PlatformState {
+    document: watch::Sender<Value>,
+    instances: watch::Sender<Value>,
+    /// Whether the service answers with an error.
+    down: Mutex<bool>,
+    calls: Mutex<u64>,
+}
+
+type State = web::types::State<Arc<PlatformState>>;
+
+/// Serves the platform at `address` until the process ends.
+///
+/// # Errors
+///
+/// Fails when the address can't be bound.
+pub fn run_platform(address: SocketAddr) -> Result<()> {
+    let state = Arc::new(PlatformState {
+        document: watch::Sender::new(Value::default()),
+        instances: watch::Sender::new(Value::default()),
+        down: Mutex::new(false),
+        calls: Mutex::new(0),
+    });
+    let system = ntex::rt::System::build()
+        .name("platform")
+        .build(ntex::rt::DefaultRuntime);
+    system.block_on(async move {
+        let server = HttpServer::new(async move || {
+            App::new().state(Arc::clone(&state)).service((
+                get_document,
+                put_document,
+                get_instances,
+                put_instances,
+                put_down,
+                get_calls,
+            ))
+        });
+        server.workers(1).bind(address)?.run().await?;
+        Ok(())
+    })
+}
+
+#[web::get("/v1/document")]
+async fn get_document(req: HttpRequest, state: State) -> HttpResponse {
+    watched(&req, &state, &state.document).await
+}
+
+#[web::put("/v1/document")]
+async fn put_document(body: String, state: State) -> HttpResponse {
+    put(&state.document, body)
+}
+
+#[web::get("/v1/instances")]
+async fn get_instances(req: HttpRequest, state: State) -> HttpResponse {
+    watched(&req, &state, &state.instances).await
+}
+
+#[web::put("/v1/instances")]
+async fn put_instances(body: String, state: State) -> HttpResponse {
+    put(&state.instances, body)
+}
+
+#[web::put("/v1/down")]
+async fn put_down(body: String, state: State) -> HttpResponse {
+    *state.down.lock() = body.trim() == "true";
+    HttpResponse::NoContent().finish()
+}
+
+#[web::get("/v1/calls")]
+async fn get_calls(state: State) -> HttpResponse {
+    HttpResponse::Ok().body(state.calls.lock().to_string())
+}
+
+fn put(value: &watch::Sender<Value>, text: String) -> HttpResponse {
+    value.send_modify(|value| {
+        value.revision += 1;
+        value.text = text;
+    });
+    HttpResponse::NoContent().finish()
+}
+
+/// Answers at once when the caller's revision is not current, or else when it changes.
+async fn watched(
+    req: &HttpRequest,
+    state: &PlatformState,
+    value: &watch::Sender<Value>,
+) -> HttpResponse {
+    *state.calls.lock() += 1;
+    if *state.down.lock() {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let known = req.headers().get("if-none-match");
+    let known = known
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned();
+    let mut rx = value.subscribe();
+    let changed = rx.wait_for(|value| value.revision > 0 && value.revision.to_string() != known);
+    let Ok(Ok(value)) = tokio::time::timeout(WATCH_TIMEOUT, changed).await else {
+        return HttpResponse::build(StatusCode::NOT_MODIFIED).finish();
+    };
+    HttpResponse::Ok()
+        .header("etag", value.revision.to_string())
+        .body(value.text.clone())
+}
--- /dev/null
+++ b/crates/stand_ins/src/upstream.rs
@@ -0,0 +1,134 @@
+//! An upstream: a feed that ticks, a booking desk and a file server in one.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Result;
+use futures_util::stream::unfold;
+use ntex::util::Bytes;
+use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
+use parking_lot::Mutex;
+use plantainquay_schema::wire::stand_in::{Ledger, UpstreamSettings};
+
+/// Header in which callers name the service that they mean.
+const MEANT_FOR: &str = "meant-for";
+
+#[derive(Debug)]
+struct UpstreamState {
+    settings: UpstreamSettings,
+    seen: Mutex<Seen>,
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    ledger: Ledger,
+    running: u32,
+}
+
+/// Counts a feed for as long as it lives.
+#[derive(Debug)]
+struct OpenFeed(Arc<UpstreamState>);
+
+type State = web::types::State<Arc<UpstreamState>>;
+
+/// Serves an upstream until the process ends.
+///
+/// # Errors
+///
+/// Fails when the address can't be bound.
+pub fn run_upstream(settings: UpstreamSettings) -> Result<()> {
+    let bind = settings.bind.clone();
+    let state = Arc::new(UpstreamState {
+        settings,
+        seen: Mutex::default(),
+    });
+    let system = ntex::rt::System::build()
+        .name("upstream")
+        .build(ntex::rt::DefaultRuntime);
+    system.block_on(async move {
+        let server = HttpServer::new(async move || {
+            App::new()
+                .state(Arc::clone(&state))
+                .service((feed, booking, file, ledger))
+        });
+        server.workers(1).bind(bind)?.run().await?;
+        Ok(())
+    })
+}
+
+/// The bytes of the file of `size` bytes; the same at every upstream of `service`.
+#[must_use]
+pub fn file_bytes(service: &str, size: usize) -> Vec<u8> {
+    service
+        .bytes()
+        .cycle()
+        .zip(0_u8..=250)
+        .map(|(a, b)| a ^ b)
+        .cycle()
+        .take(size)
+        .collect()
+}
+
+#[web::get("/feed")]
+async fn feed(req: HttpRequest, state: State) -> HttpResponse {
+    note_meant_for(&req, &state);
+    let state = Arc::clone(&state);
+    state.seen.lock().ledger.open_feeds += 1;
+    let tick = Duration::from_millis(state.settings.tick_ms);
+    let ticks = unfold((OpenFeed(state), 0_u64), move |(feed, n)| async move {
+        if n > 0 {
+            tokio::time::sleep(tick).await;
+        }
+        let settings = &feed.0.settings;
+        let line = format!("tick {n} {} {}\n", settings.service, settings.number);
+        Some((Ok::<_, io::Error>(Bytes::from(line)), (feed, n + 1)))
+    });
+    HttpResponse::Ok().streaming(Box::pin(ticks))
+}
+
+#[web::post("/bookings/{id}")]
+async fn booking(req: HttpRequest, id: web::types::Path<String>, state: State) -> HttpResponse {
+    note_meant_for(&req, &state);
+    {
+        let mut seen = state.seen.lock();
+        *seen.ledger.runs.entry(id.clone()).or_default() += 1;
+        seen.running += 1;
+        seen.ledger.most_running = seen.ledger.most_running.max(seen.running);
+    }
+    tokio::time::sleep(Duration::from_millis(state.settings.booking_ms)).await;
+    state.seen.lock().running -= 1;
+    let settings = &state.settings;
+    HttpResponse::Ok().body(format!(
+        "confirmed {id} {} {}\n",
+        settings.service, settings.number
+    ))
+}
+
+#[web::get("/files/{size}")]
+async fn file(req: HttpRequest, size: web::types::Path<usize>, state: State) -> HttpResponse {
+    note_meant_for(&req, &state);
+    HttpResponse::Ok().body(file_bytes(&state.settings.service, *size))
+}
+
+#[web::get("/ledger")]
+async fn ledger(state: State) -> HttpResponse {
+    let mut ledger = state.seen.lock().ledger.clone();
+    ledger.service.clone_from(&state.settings.service);
+    ledger.number = state.settings.number;
+    HttpResponse::Ok().json(&ledger)
+}
+
+fn note_meant_for(req: &HttpRequest, state: &UpstreamState) {
+    let meant_for = req.headers().get(MEANT_FOR);
+    let meant_for = meant_for.and_then(|value| value.to_str().ok());
+    if meant_for != Some(state.settings.service.as_str()) {
+        state.seen.lock().ledger.misdelivered += 1;
+    }
+}
+
+impl Drop for OpenFeed {
+    fn drop(&mut self) {
+        self.0.seen.lock().ledger.open_feeds -= 1;
+    }
+}
--- /dev/null
+++ b/examples/demo/cluster.rs
@@ -0,0 +1,359 @@
+//! The processes of one run.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result, bail};
+use plantainquay_schema::wire::document::Document;
+use plantainquay_schema::wire::platform::{Instance, InstanceList};
+use plantainquay_schema::wire::settings::{AgentSettings, Key, Platform, Settings};
+use plantainquay_schema::wire::stand_in::{
+    FabricListener, FabricSettings, Ledger, UpstreamSettings,
+};
+use plantainquay_schema::wire::status::Status;
+use serde::Serialize;
+use stand_ins::{ChildProcess, free_address, http_get, http_put};
+
+use crate::options::Options;
+
+const TICK_MS: u64 = 100;
+const BOOKING_MS: u64 = 10;
+const ECHO_PERCENT: u32 = 70;
+const POLL: Duration = Duration::from_millis(5);
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// One daemon of the system.
+pub(crate) struct Daemon {
+    pub(crate) instance: Instance,
+    pub(crate) http: SocketAddr,
+    pub(crate) process: ChildProcess,
+}
+
+/// One listener of a service, as callers reach it.
+#[derive(Clone, Debug)]
+pub(crate) struct Entrance {
+    pub(crate) service: String,
+    pub(crate) mode: String,
+    pub(crate) address: SocketAddr,
+}
+
+/// Every process of one run.
+pub(crate) struct Cluster {
+    pub(crate) document: Document,
+    pub(crate) balancers: Vec<Daemon>,
+    pub(crate) agents: Vec<Daemon>,
+    pub(crate) entrances: Vec<Entrance>,
+    upstreams: Vec<SocketAddr>,
+    platform: SocketAddr,
+    fabric: SocketAddr,
+    folder: PathBuf,
+    next_balancer: usize,
+    _others: Vec<ChildProcess>,
+}
+
+impl Cluster {
+    /// Starts everything and waits until it is ready.
+    pub(crate) async fn start(options: &Options) -> Result<Self> {
+        let text = std::fs::read_to_string(&options.document)
+            .with_context(|| options.document.display().to_string())?;
+        let checked = plantainquay_schema::Document::from_yaml(&text)?;
+        let folder = std::env::temp_dir().join(format!("plantainquay-demo-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let mut cluster = Self {
+            document: checked.to_wire().clone(),
+            balancers: Vec::new(),
+            agents: Vec::new(),
+            entrances: Vec::new(),
+            upstreams: Vec::new(),
+            platform: free_address()?,
+            fabric: free_address()?,
+            folder,
+            next_balancer: 1,
+            _others: Vec::new(),
+        };
+        cluster.start_platform().await?;
+        cluster.start_upstreams().await?;
+        cluster.publish().await?;
+        cluster.start_agents()?;
+        for _ in 0..options.balancers {
+            cluster.start_balancer()?;
+        }
+        cluster.wait_ready().await?;
+        cluster.publish_instances().await?;
+        cluster.start_fabric(options.seed).await?;
+        Ok(cluster)
+    }
+
+    /// Publishes the document as it stands.
+    pub(crate) async fn publish(&self) -> Result<()> {
+        let text = serde_saphyr::to_string(&self.document)?;
+        http_put(self.platform, "/v1/document", &text).await
+    }
+
+    /// Publishes the document and returns the time until it is in force on every balancer.
+    pub(crate) async fn publish_and_wait(&self) -> Result<Duration> {
+        let start = Instant::now();
+        self.publish().await?;
+        for daemon in self.balancers.iter().chain(&self.agents) {
+            let in_force = |status: &Status| status.generation >= self.document.generation;
+            wait_status(daemon, in_force).await?;
+        }
+        Ok(start.elapsed())
+    }
+
+    /// Publishes which instances are live or leaving.
+    pub(crate) async fn publish_instances(&self) -> Result<()> {
+        let daemons = self.balancers.iter().chain(&self.agents);
+        let list = InstanceList {
+            instances: daemons.map(|daemon| daemon.instance.clone()).collect(),
+        };
+        http_put(
+            self.platform,
+            "/v1/instances",
+            &serde_json::to_string(&list)?,
+        )
+        .await
+    }
+
+    /// Starts a balancer; the fabric uses it once the list of instances names it.
+    pub(crate) fn start_balancer(&mut self) -> Result<()> {
+        let name = format!("balancer-{}", self.next_balancer);
+        self.next_balancer += 1;
+        let daemon = self.start_daemon(&name, "balancer", None)?;
+        self.balancers.push(daemon);
+        Ok(())
+    }
+
+    /// Waits until every daemon is ready.
+    pub(crate) async fn wait_ready(&self) -> Result<()> {
+        for daemon in self.balancers.iter().chain(&self.agents) {
+            wait_status(daemon, |status| status.generation > 0).await?;
+        }
+        Ok(())
+    }
+
+    /// What each upstream has seen.
+    pub(crate) async fn ledgers(&self) -> Result<Vec<Ledger>> {
+        let mut ledgers = Vec::with_capacity(self.upstreams.len());
+        for upstream in &self.upstreams {
+            let (_, body) = http_get(*upstream, "/ledger").await?;
+            ledgers.push(serde_json::from_slice(&body)?);
+        }
+        Ok(ledgers)
+    }
+
+    /// The folder with the processes' logs and settings.
+    pub(crate) fn folder(&self) -> &PathBuf {
+        &self.folder
+    }
+
+    async fn start_platform(&mut self) -> Result<()> {
+        let file = self.folder.join("platform.txt");
+        std::fs::write(&file, self.platform.to_string())?;
+        self.start_other("platform", "platform", &file)?;
+        wait_answer(self.platform, "/v1/calls").await
+    }
+
+    async fn start_upstreams(&mut self) -> Result<()> {
+        let slots_of = |document: &Document, service: &str, number: u32| {
+            let service = document.services.iter().find(|s| s.name == service);
+            let upstreams = service.into_iter().flat_map(|s| &s.upstreams);
+            upstreams
+                .filter(|u| u.number == number)
+                .map(|u| u.slots)
+                .sum()
+        };
+        let mut facts = self.document.facts.clone().unwrap_or_default();
+        for fact in &mut facts.upstreams {
+            let address = free_address()?;
+            fact.endpoint = address.to_string();
+            fact.agent = free_address()?.to_string();
+            let settings = UpstreamSettings {
+                bind: address.to_string(),
+                service: fact.service.clone(),
+                number: fact.number,
+                slots: slots_of(&self.document, &fact.service, fact.number),
+                tick_ms: TICK_MS,
+                booking_ms: BOOKING_MS,
+            };
+            let name = format!("upstream-{}-{}", fact.service, fact.number);
+            let file = self.write_yaml(&name, &settings)?;
+            self.start_other(&name, "upstream", &file)?;
+            self.upstreams.push(address);
+        }
+        self.document.facts = Some(facts);
+        // Callers of the demo come from loopback addresses, one network for each member.
+        for (i, member) in self.document.members.iter_mut().enumerate() {
+            member.sources = vec![format!("127.0.{}.0/24", i + 1)];
+        }
+        for upstream in &self.upstreams {
+            wait_answer(*upstream, "/ledger").await?;
+        }
+        Ok(())
+    }
+
+    fn start_agents(&mut self) -> Result<()> {
+        let facts = self.document.facts.clone().unwrap_or_default();
+        for fact in facts.upstreams {
+            let name = format!("agent-{}-{}", fact.service, fact.number);
+            let agent = AgentSettings {
+                service: fact.service,
+                upstream: fact.number,
+                ..AgentSettings::default()
+            };
+            let tunnel = fact.agent.parse()?;
+            let daemon = self.start_daemon(&name, "agent", Some((agent, tunnel)))?;
+            self.agents.push(daemon);
+        }
+        Ok(())
+    }
+
+    fn start_daemon(
+        &self,
+        name: &str,
+        role: &str,
+        agent: Option<(AgentSettings, SocketAddr)>,
+    ) -> Result<Daemon> {
+        let tunnel = match &agent {
+            Some((_, tunnel)) => *tunnel,
+            None => free_address()?,
+        };
+        let (http, peer) = (free_address()?, free_address()?);
+        let data_centre = self.document.data_centres[0].clone();
+        let settings = Settings {
+            role: role.to_owned(),
+            instance: name.to_owned(),
+            data_centre: data_centre.clone(),
+            tunnel: tunnel.to_string(),
+            http: http.to_string(),
+            peer: peer.to_string(),
+            fabric: self.fabric.to_string(),
+            platform: Some(Platform {
+                configuration: self.platform.to_string(),
+                instances: self.platform.to_string(),
+                poll_ms: 0,
+            }),
+            keys: vec![Key {
+                id: 1,
+                secret: "000102030405060708090a0b0c0d0e0f".to_owned(),
+            }],
+            agent: agent.map(|(agent, _)| agent),
+            threads: 1,
+            ..Settings::default()
+        };
+        let file = self.write_yaml(name, &settings)?;
+        Ok(Daemon {
+            instance: Instance {
+                instance: name.to_owned(),
+                role: role.to_owned(),
+                data_centre,
+                tunnel: tunnel.to_string(),
+                peer: peer.to_string(),
+                state: "live".to_owned(),
+            },
+            http,
+            process: self.start_process(name, "daemon", &file)?,
+        })
+    }
+
+    async fn start_fabric(&mut self, seed: u64) -> Result<()> {
+        let facts = self.document.facts.clone().unwrap_or_default();
+        let mut listeners = Vec::new();
+        for service in &self.document.services {
+            let address = facts.addresses.iter().find(|a| a.service == service.name);
+            let address = &address.context("a service without address")?.address;
+            for listener in &service.listeners {
+                let bind = free_address()?;
+                listeners.push(FabricListener {
+                    bind: bind.to_string(),
+                    destination: format!("{address}:{}", listener.port),
+                });
+                self.entrances.push(Entrance {
+                    service: service.name.clone(),
+                    mode: listener.mode.clone(),
+                    address: bind,
+                });
+            }
+        }
+        let settings = FabricSettings {
+            udp: self.fabric.to_string(),
+            instances: self.platform.to_string(),
+            listeners,
+            seed,
+            echo_percent: ECHO_PERCENT,
+        };
+        let file = self.write_yaml("fabric", &settings)?;
+        self.start_other("fabric", "fabric", &file)?;
+        for entrance in &self.entrances {
+            wait_connect(entrance.address).await?;
+        }
+        Ok(())
+    }
+
+    fn start_other(&mut self, name: &str, kind: &str, file: &PathBuf) -> Result<()> {
+        let process = self.start_process(name, kind, file)?;
+        self._others.push(process);
+        Ok(())
+    }
+
+    fn start_process(&self, name: &str, kind: &str, file: &PathBuf) -> Result<ChildProcess> {
+        let mut log = String::new();
+        write!(log, "{name}.log")?;
+        let file = file.to_str().context("temporary folder is not UTF-8")?;
+        let args = ["--process", kind, "--file", file];
+        ChildProcess::start(name, &args, &self.folder.join(log))
+    }
+
+    fn write_yaml(&self, name: &str, value: &impl Serialize) -> Result<PathBuf> {
+        let file = self.folder.join(format!("{name}.yaml"));
+        std::fs::write(&file, serde_saphyr::to_string(value)?)?;
+        Ok(file)
+    }
+}
+
+/// The state that a daemon reports.
+pub(crate) async fn fetch_status(http: SocketAddr) -> Result<Status> {
+    let (_, body) = http_get(http, "/v1/status").await?;
+    Ok(serde_json::from_slice(&body)?)
+}
+
+async fn wait_status(daemon: &Daemon, good: impl Fn(&Status) -> bool) -> Result<()> {
+    let start = Instant::now();
+    while start.elapsed() < START_TIMEOUT {
+        if fetch_status(daemon.http)
+            .await
+            .is_ok_and(|status| good(&status))
+        {
+            return Ok(());
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    bail!(
+        "{} does not come to the awaited state",
+        daemon.process.name()
+    )
+}
+
+async fn wait_answer(address: SocketAddr, path: &str) -> Result<()> {
+    let start = Instant::now();
+    while start.elapsed() < START_TIMEOUT {
+        if http_get(address, path).await.is_ok() {
+            return Ok(());
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    bail!("{address} does not answer")
+}
+
+async fn wait_connect(address: SocketAddr) -> Result<()> {
+    let start = Instant::now();
+    while start.elapsed() < START_TIMEOUT {
+        if tokio::net::TcpStream::connect(address).await.is_ok() {
+            return Ok(());
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    bail!("{address} takes no connection")
+}
--- /dev/null
+++ b/examples/demo/scenario.rs
@@ -0,0 +1,155 @@
+//! What happens in the demo.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+
+use crate::cluster::Cluster;
+use crate::load::{Counts, Load};
+use crate::options::Options;
+use crate::summary::{Summary, imbalance};
+
+const PAUSE: Duration = Duration::from_secs(2);
+const STOP_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Runs the demo.
+pub(crate) async fn run(options: &Options) -> Result<Summary> {
+    println!("starting processes");
+    let mut cluster = Cluster::start(options).await?;
+    println!("logs in {}", cluster.folder().display());
+    let load = Load::start(&cluster.entrances, options.flows);
+    load.wait_feeds(options.flows).await;
+    let imbalance = imbalance(&load.counts.feeds.lock(), &upstream_counts(&cluster));
+    println!("{} feeds are open", options.flows);
+    tokio::time::sleep(PAUSE).await;
+
+    stop_balancer(&mut cluster).await?;
+    tokio::time::sleep(PAUSE).await;
+
+    println!("a balancer joins");
+    cluster.start_balancer()?;
+    cluster.wait_ready().await?;
+    cluster.publish_instances().await?;
+    tokio::time::sleep(PAUSE).await;
+
+    let mut in_force = drain_upstream(&mut cluster).await?;
+    tokio::time::sleep(PAUSE).await;
+    in_force = in_force.max(serve_again(&mut cluster).await?);
+    if options.changes_per_second > 0 {
+        in_force = in_force.max(keep_changing(&mut cluster, options).await?);
+    }
+    tokio::time::sleep(PAUSE).await;
+
+    println!("callers finish");
+    let counts = load.finish().await;
+    summarise(&cluster, &counts, imbalance, in_force).await
+}
+
+fn upstream_counts(cluster: &Cluster) -> HashMap<String, usize> {
+    let services = cluster.document.services.iter();
+    services
+        .map(|s| (s.name.clone(), s.upstreams.len()))
+        .collect()
+}
+
+/// Takes a balancer out as an operator does: off the list first, then SIGTERM.
+async fn stop_balancer(cluster: &mut Cluster) -> Result<()> {
+    let name = cluster.balancers[0].process.name().to_owned();
+    println!("{name} stops");
+    "leaving".clone_into(&mut cluster.balancers[0].instance.state);
+    cluster.publish_instances().await?;
+    let mut leaving = cluster.balancers.remove(0);
+    leaving.process.terminate()?;
+    let ended = tokio::task::spawn_blocking(move || leaving.process.wait_ended(STOP_TIMEOUT));
+    anyhow::ensure!(ended.await??, "{name} did not stop");
+    cluster.publish_instances().await
+}
+
+async fn drain_upstream(cluster: &mut Cluster) -> Result<Duration> {
+    set_state(cluster, 0, "draining")?;
+    let took = cluster.publish_and_wait().await?;
+    println!("an upstream drains, in force after {} ms", took.as_millis());
+    Ok(took)
+}
+
+async fn serve_again(cluster: &mut Cluster) -> Result<Duration> {
+    set_state(cluster, 0, "serving")?;
+    let took = cluster.publish_and_wait().await?;
+    println!("it serves again, in force after {} ms", took.as_millis());
+    Ok(took)
+}
+
+/// Drains one upstream after the other, several times a second.
+async fn keep_changing(cluster: &mut Cluster, options: &Options) -> Result<Duration> {
+    let changes = u64::from(options.changes_per_second) * options.seconds;
+    let interval = Duration::from_secs(1) / options.changes_per_second;
+    println!("{changes} changes, {} a second", options.changes_per_second);
+    let upstreams = cluster
+        .document
+        .facts
+        .as_ref()
+        .map_or(0, |facts| facts.upstreams.len());
+    let mut timer = tokio::time::interval(interval);
+    let mut draining = None;
+    for change in 0..changes {
+        timer.tick().await;
+        match draining.take() {
+            Some(index) => set_state(cluster, index, "serving")?,
+            None => {
+                let index = usize::try_from(change / 2).unwrap_or(0) % upstreams;
+                set_state(cluster, index, "draining")?;
+                draining = Some(index);
+            }
+        }
+        cluster.publish().await?;
+    }
+    cluster.publish_and_wait().await
+}
+
+fn set_state(cluster: &mut Cluster, index: usize, state: &str) -> Result<()> {
+    let facts = cluster
+        .document
+        .facts
+        .as_mut()
+        .context("a document without facts")?;
+    state.clone_into(&mut facts.upstreams[index].state);
+    cluster.document.generation += 1;
+    Ok(())
+}
+
+async fn summarise(
+    cluster: &Cluster,
+    counts: &Counts,
+    imbalance: f64,
+    in_force: Duration,
+) -> Result<Summary> {
+    let ledgers = cluster.ledgers().await?;
+    let mut runs: HashMap<&str, u32> = HashMap::new();
+    for ledger in &ledgers {
+        for (id, count) in &ledger.runs {
+            *runs.entry(id).or_default() += count;
+        }
+    }
+    let ran: HashSet<&str> = runs.keys().copied().collect();
+    let not_run = counts.not_run_ids.lock();
+    let lies = not_run
+        .iter()
+        .filter(|id| ran.contains(id.as_str()))
+        .count();
+    println!(
+        "bookings refused as not run: {} (of which ran: {lies}), unknown: {}",
+        not_run.len(),
+        counts.unknown.load(Ordering::Relaxed)
+    );
+    Ok(Summary {
+        flows: counts.flows.load(Ordering::Relaxed),
+        broken: counts.broken.load(Ordering::Relaxed),
+        bookings: counts.bookings.load(Ordering::Relaxed),
+        doubled: runs.values().filter(|count| **count > 1).count() as u64,
+        misdelivered: ledgers.iter().map(|ledger| ledger.misdelivered).sum(),
+        imbalance,
+        in_force,
+    })
+}
--- /dev/null
+++ b/examples/demo/summary.rs
@@ -0,0 +1,60 @@
+//! The demo's last line.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::time::Duration;
+
+/// Figures of one run.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Summary {
+    pub(crate) flows: u64,
+    pub(crate) broken: u64,
+    pub(crate) bookings: u64,
+    pub(crate) doubled: u64,
+    pub(crate) misdelivered: u64,
+    pub(crate) imbalance: f64,
+    pub(crate) in_force: Duration,
+}
+
+impl Summary {
+    /// Whether nothing happened that must never happen.
+    pub(crate) fn is_good(&self) -> bool {
+        self.broken == 0 && self.doubled == 0 && self.misdelivered == 0
+    }
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "demo flows={} broken={} bookings={} doubled={} misdelivered={} imbalance={:.2} \
+             in_force_ms={}",
+            self.flows,
+            self.broken,
+            self.bookings,
+            self.doubled,
+            self.misdelivered,
+            self.imbalance,
+            self.in_force.as_millis()
+        )
+    }
+}
+
+/// The largest number of flows at one upstream over the mean of its service.
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+pub(crate) fn imbalance(
+    feeds: &HashMap<(String, u32), u64>,
+    upstreams: &HashMap<String, usize>,
+) -> f64 {
+    let mut worst: f64 = 1.0;
+    for (service, count) in upstreams {
+        let of_service = feeds.iter().filter(|((name, _), _)| name == service);
+        let flows: Vec<u64> = of_service.map(|(_, flows)| *flows).collect();
+        let sum: u64 = flows.iter().sum();
+        if sum > 0 {
+            let largest = flows.iter().max().copied().unwrap_or(0);
+            worst = worst.max(largest as f64 * *count as f64 / sum as f64);
+        }
+    }
+    worst
+}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,31 @@
+//! Development tasks: `cargo xtask codegen [--check]` regenerates the schema's code.
+
+mod codegen;
+
+use anyhow::Result;
+use clap::{Arg, ArgAction, Command};
+
+fn main() -> Result<()> {
+    let matches = command().get_matches();
+    match matches.subcommand() {
+        Some(("codegen", sub)) if sub.get_flag("check") => codegen::check(),
+        Some(("codegen", _)) => codegen::write(),
+        _ => unreachable!("clap requires a known subcommand"),
+    }
+}
+
+fn command() -> Command {
+    let check = Arg::new("check")
+        .long("check")
+        .action(ArgAction::SetTrue)
+        .help("Fail when the committed code is not current");
+    Command::new("xtask")
+        .about("Development tasks")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("codegen")
+                .about("Generate Rust code from the schema")
+                .arg(check),
+        )
+}
