Trace replay, command-line tool, checks and their tests

Cause: the path ran, but nothing proved it and operators had no tool.

Found on the way: a fact with a fault of its own was reported a second time as missing; settings printed their secret in debug output. Both mended, both in

--- a/crates/plantainquay_core/src/rendezvous.rs
+++ b/crates/plantainquay_core/src/rendezvous.rs
@@ -37,7 +37,7 @@
     (u64::from(zeros + 1) << LOG_BITS) - fraction
 }
 
-/// Finaliser of SplitMix64.
+/// Finaliser of the `SplitMix64` generator.
 fn mix(value: u64) -> u64 {
     let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -58,6 +58,10 @@
 }
 
 /// `log2(mantissa / 2^63)` by repeated squaring, for a mantissa with its top bit set.
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "the product of two 64-bit numbers below 2^127, shifted right by 63, fits 64 bits"
+)]
 const fn log2_of_mantissa(mantissa: u64) -> u64 {
     let mut value = mantissa;
     let mut log = 0;
--- a/crates/plantainquay_core/src/time.rs
+++ b/crates/plantainquay_core/src/time.rs
@@ -24,8 +24,8 @@
 impl Add<Duration> for Timestamp {
     type Output = Self;
 
-    fn add(self, span: Duration) -> Self {
-        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+    fn add(self, rhs: Duration) -> Self {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
         Self(self.0.saturating_add(micros))
     }
 }
--- a/crates/plantainquay_net/src/agent/flows.rs
+++ b/crates/plantainquay_net/src/agent/flows.rs
@@ -26,6 +26,9 @@
     due: Option<Timestamp>,
 }
 
+/// Locks a flow's endpoint, calls the closure, and sends what is then to be sent.
+type EndpointAccess = Box<dyn Fn(&mut dyn FnMut(&mut TcpEndpoint)) -> Option<()> + Send + Sync>;
+
 impl AgentRuntime {
     /// Opens a flow with its first packet.
     pub(super) fn open(
@@ -192,10 +195,8 @@
         }
     }
 
-    fn flow_end(
-        self: &Arc<Self>,
-        flow: FlowId,
-    ) -> Option<FlowEnd<impl Fn(&mut dyn FnMut(&mut TcpEndpoint)) -> Option<()> + use<>>> {
+    /// The pump's access to a flow.
+    fn flow_end(self: &Arc<Self>, flow: FlowId) -> Option<FlowEnd<EndpointAccess>> {
         let mut shard = self.state.shard(flow);
         let payload = &shard.get_mut(flow)?.payload;
         let (readable, writable) = (Arc::clone(&payload.readable), Arc::clone(&payload.writable));
@@ -203,7 +204,7 @@
         let this = Arc::clone(self);
         let with = move |f: &mut dyn FnMut(&mut TcpEndpoint)| this.with_endpoint(flow, f);
         Some(FlowEnd {
-            with,
+            with: Box::new(with),
             readable,
             writable,
         })
--- a/crates/plantainquay_net/src/agent/timers.rs
+++ b/crates/plantainquay_net/src/agent/timers.rs
@@ -53,7 +53,7 @@
     /// Polls the flows of one shard when they are due.
     pub(super) async fn run_timers(self: Arc<Self>, index: usize) {
         /// A wait that ends when an earlier timer is set.
-        const UNTIL_SET: Duration = Duration::from_secs(3_600);
+        const UNTIL_SET: Duration = Duration::from_hours(1);
         let timers = &self.timers[index];
         loop {
             let now = self.clock.now();
--- a/crates/plantainquay_schema/src/document/check.rs
+++ b/crates/plantainquay_schema/src/document/check.rs
@@ -31,7 +31,7 @@
             let path = format!("services[{i}]");
             let members = members.as_slice();
             let checked = check_service(service, facts, &data_centres, members, &path, &mut faults);
-            services.extend(checked.map(Arc::new));
+            services.push(Arc::new(checked));
         }
         check_ids(&wire, &mut faults);
         faults.into_result()?;
--- a/crates/plantainquay_schema/src/document/check_service.rs
+++ b/crates/plantainquay_schema/src/document/check_service.rs
@@ -14,7 +14,9 @@
 #[derive(Debug, Default)]
 pub(super) struct ServiceFacts {
     addresses: Vec<IpAddr>,
-    upstreams: HashMap<u32, UpstreamFact>,
+    addresses_given: usize,
+    /// None for an upstream whose facts have faults of their own.
+    upstreams: HashMap<u32, Option<UpstreamFact>>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -36,12 +38,13 @@
             let address = faults.take(format!("facts.addresses[{i}].address"), parsed);
             let service = grouped.entry(&fact.service).or_default();
             service.addresses.extend(address);
+            service.addresses_given += 1;
         }
         for (i, fact) in facts.upstreams.iter().enumerate() {
             let path = format!("facts.upstreams[{i}]");
             let checked = check_upstream_fact(fact, &path, faults);
             let service = grouped.entry(&fact.service).or_default();
-            let replaced = checked.and_then(|fact_| service.upstreams.insert(fact.number, fact_));
+            let replaced = service.upstreams.insert(fact.number, checked);
             let reason = format!("upstream {} is given twice", fact.number);
             faults.require(replaced.is_none(), format!("{path}.number"), reason);
         }
@@ -72,20 +75,20 @@
     members: &[Member],
     path: &str,
     faults: &mut Faults,
-) -> Option<Service> {
+) -> Service {
     faults.require(
         !service.name.is_empty(),
         format!("{path}.name"),
         "must be named",
     );
-    let addressed = !facts.addresses.is_empty();
+    let addressed = facts.addresses_given > 0;
     let reason = format!("no address for service `{}`", service.name);
     faults.require(addressed, "facts.addresses", reason);
     let listeners = check_listeners(service, path, faults);
     let classes = check_classes(service, path, faults);
     let limits = check_limits(service, members, path, faults);
     let upstreams = check_upstreams(service, facts, data_centres, path, faults);
-    Some(Service {
+    Service {
         id: ServiceId::of(&service.name),
         name: service.name.as_str().into(),
         addresses: facts.addresses.clone(),
@@ -93,7 +96,7 @@
         classes,
         limits,
         upstreams,
-    })
+    }
 }
 
 fn check_listeners(
@@ -241,7 +244,7 @@
     let fact = facts.upstreams.get(&upstream.number);
     let reason = "facts.upstreams gives no agent and endpoint for it";
     faults.require(fact.is_some(), path, reason);
-    let fact = fact?;
+    let fact = fact.copied().flatten()?;
     Some(Upstream {
         number: number?,
         name: upstream.name.as_str().into(),
--- a/crates/plantainquay_schema/src/settings.rs
+++ b/crates/plantainquay_schema/src/settings.rs
@@ -2,6 +2,7 @@
 
 mod check;
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -77,8 +78,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct KeyId(pub u8);
 
-/// One signing key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// One signing key; its secret is never printed.
+#[derive(Clone, Copy, PartialEq, Eq)]
 pub struct Key {
     /// Number by which receivers choose the key.
     pub id: KeyId,
@@ -86,6 +87,14 @@
     pub secret: [u8; 16],
 }
 
+impl fmt::Debug for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Key")
+            .field("id", &self.id)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Settings {
     /// Parses and checks settings.
     ///
--- a/crates/plantainquay_trace/src/lib.rs
+++ b/crates/plantainquay_trace/src/lib.rs
@@ -1,1 +1,39 @@
+//! Replay of recorded traces through the decisions of `plantainquay_core`.
 //!
+//! A trace is text, one event a line: time in milliseconds, process, event. It is a front end
+//! beside the daemon: the same functions decide, only time, packets and messages come from the
+//! trace. A [`Policy`] can put simpler decisions in their place, so that a test shows what fails
+//! without the real ones.
+//!
+//! ```
+//! use plantainquay_trace::{Policy, Trace, World};
+//!
+//! let trace: Trace = "
+//!     0 b1 start
+//!     0 b2 start
+//!     0 platform publish key=1 generation=1 feed=1,2,3
+//!     0 all apply key=1
+//!     10 caller open flow=a to=feed via=b1
+//!     20 caller send flow=a via=b2
+//! "
+//! .parse()?;
+//! let mut world = World::new(Policy::product());
+//! world.replay(&trace);
+//! assert_eq!(world.summary().broken, 0);
+//! # Ok::<(), plantainquay_trace::ParseError>(())
+//! ```
+
+mod documents;
+mod event;
+mod outcome;
+mod parse;
+mod policy;
+mod processes;
+mod world;
+
+pub use documents::{DocumentSpec, ServiceSpec};
+pub use event::{Event, ProcessId, TimedEvent, Trace};
+pub use outcome::{Fate, Outcome, Summary};
+pub use parse::ParseError;
+pub use policy::Policy;
+pub use world::World;
--- /dev/null
+++ b/crates/plantainquay_trace/src/policy.rs
@@ -0,0 +1,165 @@
+//! The decisions that a replay uses: the product's, or simpler ones to compare with.
+
+use std::fmt;
+
+use plantainquay_core::agent::{AgentState, DropReason, ResetReason, Shard, Verdict};
+use plantainquay_core::balancer::{self, Forward};
+use plantainquay_core::{RouteMap, Segment, Timestamp, agent};
+use plantainquay_schema::{TunnelHeader, UpstreamNumber, UpstreamState};
+
+use crate::processes::FlowCache;
+
+type Route = dyn Fn(&RouteMap, &mut FlowCache, &Segment) -> Result<Forward, balancer::DropReason>;
+type OnPacket =
+    dyn Fn(&AgentState<()>, &mut Shard<()>, Timestamp, &TunnelHeader, &Segment) -> Verdict;
+
+/// Decisions of balancers and agents.
+pub struct Policy {
+    /// Names the agent for a packet.
+    pub(crate) route: Box<Route>,
+    /// Decides on a packet at an agent.
+    pub(crate) on_packet: Box<OnPacket>,
+    /// Whether agents send each other messages.
+    pub(crate) talks: bool,
+}
+
+impl Policy {
+    /// What the daemon does.
+    #[must_use]
+    pub fn product() -> Self {
+        Self {
+            route: Box::new(|routes, _, segment| balancer::route(routes, segment)),
+            on_packet: Box::new(agent::on_packet),
+            talks: true,
+        }
+    }
+
+    /// The product without the echoed tag.
+    #[must_use]
+    pub fn without_tags() -> Self {
+        Self {
+            route: Box::new(|routes, _, segment| balancer::route(routes, &untagged(segment))),
+            ..Self::product()
+        }
+    }
+
+    /// The product without tags and without talk between agents: the ranking alone.
+    #[must_use]
+    pub fn ranking_alone() -> Self {
+        Self {
+            talks: false,
+            ..Self::without_tags()
+        }
+    }
+
+    /// The product's table, and agents that know only their own flows.
+    #[must_use]
+    pub fn table_alone() -> Self {
+        Self {
+            on_packet: Box::new(own_flows_only),
+            ..Self::ranking_alone()
+        }
+    }
+
+    /// Hash modulo the number of upstreams.
+    #[must_use]
+    pub fn modulo() -> Self {
+        Self {
+            route: Box::new(|routes, _, segment| modulo(routes, segment)),
+            ..Self::table_alone()
+        }
+    }
+
+    /// The table, and a flow cache in each balancer that no other balancer knows.
+    #[must_use]
+    pub fn cache_alone() -> Self {
+        Self {
+            route: Box::new(cached),
+            ..Self::table_alone()
+        }
+    }
+}
+
+impl fmt::Debug for Policy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Policy")
+            .field("talks", &self.talks)
+            .finish_non_exhaustive()
+    }
+}
+
+fn untagged(segment: &Segment) -> Segment {
+    Segment {
+        tag: None,
+        has_timestamp: false,
+        ..*segment
+    }
+}
+
+fn own_flows_only(
+    state: &AgentState<()>,
+    shard: &mut Shard<()>,
+    _now: Timestamp,
+    header: &TunnelHeader,
+    segment: &Segment,
+) -> Verdict {
+    if header.service != state.config().service {
+        return Verdict::Drop(DropReason::WrongService);
+    }
+    if shard
+        .get_exact(segment.tuple.flow_id(), &segment.tuple)
+        .is_some()
+    {
+        Verdict::Deliver
+    } else if segment.opening {
+        Verdict::Open
+    } else {
+        Verdict::Reset(ResetReason::UnknownFlow)
+    }
+}
+
+fn modulo(routes: &RouteMap, segment: &Segment) -> Result<Forward, balancer::DropReason> {
+    let destination = segment.tuple.destination;
+    let route = routes
+        .find(destination)
+        .ok_or(balancer::DropReason::UnknownAddress)?;
+    let upstreams = route.service.upstreams.iter();
+    let serving: Vec<_> = upstreams
+        .filter(|u| u.state == UpstreamState::Serving)
+        .collect();
+    let index = segment.tuple.flow_id().0.checked_rem(serving.len() as u64);
+    let index = index.ok_or(balancer::DropReason::NoUpstream)?;
+    let upstream = serving[usize::try_from(index).unwrap_or(0)];
+    Ok(forward(routes, route, upstream.number))
+}
+
+fn cached(
+    routes: &RouteMap,
+    cache: &mut FlowCache,
+    segment: &Segment,
+) -> Result<Forward, balancer::DropReason> {
+    let flow = segment.tuple.flow_id();
+    let route = routes.find(segment.tuple.destination);
+    if let (Some(route), Some(number)) = (route, cache.get(&flow).copied()) {
+        return Ok(forward(routes, route, number));
+    }
+    let named = balancer::route(routes, &untagged(segment))?;
+    cache.insert(flow, named.upstream);
+    Ok(named)
+}
+
+fn forward(
+    routes: &RouteMap,
+    route: &plantainquay_core::ServiceRoute,
+    number: UpstreamNumber,
+) -> Forward {
+    Forward {
+        to: crate::documents::agent_address(route.service.name.as_str(), number),
+        upstream: number,
+        header: TunnelHeader {
+            generation: routes.generation(),
+            service: route.service.id,
+            ..TunnelHeader::default()
+        },
+    }
+}
--- /dev/null
+++ b/crates/plantainquay_trace/src/processes.rs
@@ -0,0 +1,75 @@
+//! Processes of a replay.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+use plantainquay_core::agent::{AgentConfig, AgentState, Outbox};
+use plantainquay_core::{Documents, Offer, RouteMap, Segment, Timestamp};
+use plantainquay_schema::{
+    AgentMessage, Document, FlowId, Incarnation, Name, ServiceId, TunnelHeader, UpstreamNumber,
+};
+
+/// Flows that a balancer of the baseline remembers.
+pub(crate) type FlowCache = HashMap<FlowId, UpstreamNumber>;
+
+/// A balancer.
+#[derive(Debug, Default)]
+pub(crate) struct Balancer {
+    pub(crate) documents: Documents,
+    pub(crate) routes: RouteMap,
+    pub(crate) cache: FlowCache,
+    pub(crate) paused: bool,
+}
+
+/// An agent.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    pub(crate) documents: Documents,
+    pub(crate) state: AgentState<()>,
+    pub(crate) last_tick: Timestamp,
+    pub(crate) paused: bool,
+    pub(crate) waiting: VecDeque<Waiting>,
+}
+
+/// What waits for a paused process.
+#[derive(Clone, Debug)]
+pub(crate) enum Waiting {
+    Packet(Name, TunnelHeader, Segment),
+    Message(AgentMessage),
+}
+
+impl Balancer {
+    pub(crate) fn offer(&mut self, document: &Arc<Document>) -> Offer {
+        let offer = self.documents.offer(document);
+        if matches!(offer, Offer::Applied | Offer::ConflictApplied) {
+            self.routes = RouteMap::build(document, &self.routes);
+        }
+        offer
+    }
+}
+
+impl Agent {
+    pub(crate) fn new(service: &str, number: UpstreamNumber, life: u64, now: Timestamp) -> Self {
+        let config = AgentConfig::builder()
+            .service(ServiceId::of(service))
+            .number(number)
+            .incarnation(Incarnation(life << 16 | u64::from(number.get())))
+            .build();
+        Self {
+            documents: Documents::default(),
+            state: AgentState::new(config, now),
+            last_tick: now,
+            paused: false,
+            waiting: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn offer(&mut self, now: Timestamp, document: &Arc<Document>) -> (Offer, Outbox) {
+        let offer = self.documents.offer(document);
+        let mut outbox = Outbox::new();
+        if matches!(offer, Offer::Applied | Offer::ConflictApplied) {
+            outbox = self.state.install(now, document);
+        }
+        (offer, outbox)
+    }
+}
--- /dev/null
+++ b/crates/plantainquay_trace/tests/replay.rs
@@ -0,0 +1,106 @@
+//! Replays each recorded trace with the product's decisions and with simpler ones.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::path::{Path, PathBuf};
+
+use plantainquay_trace::{Fate, Policy, Trace, World};
+use rstest::rstest;
+
+/// The product keeps every promise; where the trace names a simple version, that one breaks them.
+#[rstest]
+fn trace_has_its_recorded_outcome(#[files("tests/traces/*.trace")] path: PathBuf) {
+    let text = std::fs::read_to_string(&path).expect("the trace is readable");
+    let trace: Trace = text.parse().expect("the trace is well formed");
+    let mut world = World::new(Policy::product());
+    world.replay(&trace);
+    let simple = simple_policy(&text).map(|policy| {
+        let mut world = World::new(policy);
+        world.replay(&trace);
+        world
+    });
+    insta::with_settings!({ omit_expression => true, prepend_module_to_snapshot => false }, {
+        insta::assert_snapshot!(stem(&path), render(&text, &world, simple.as_ref()));
+    });
+    assert_eq!(world.summary().broken, 0, "a flow was broken");
+    assert_eq!(
+        world.summary().misdelivered,
+        0,
+        "a packet reached the wrong place"
+    );
+    assert_eq!(
+        unreachable_flows(&world),
+        Vec::<String>::new(),
+        "flows stay out of reach"
+    );
+    if let Some(simple) = simple {
+        let summary = simple.summary();
+        assert!(
+            summary.broken + summary.misdelivered > 0,
+            "the simple version should fail"
+        );
+    }
+}
+
+/// Flows that were opened and whose last packet was lost.
+fn unreachable_flows(world: &World) -> Vec<String> {
+    let mut last = BTreeMap::new();
+    for outcome in world.outcomes() {
+        let opened = outcome.fate == Fate::Opened || last.contains_key(&outcome.flow);
+        if opened {
+            last.insert(outcome.flow.clone(), &outcome.fate);
+        }
+    }
+    let lost = last
+        .iter()
+        .filter(|(_, fate)| matches!(fate, Fate::Lost(_)));
+    lost.map(|(flow, _)| flow.to_string()).collect()
+}
+
+/// The policy that the trace's `# simple:` line names.
+fn simple_policy(text: &str) -> Option<Policy> {
+    let line = text
+        .lines()
+        .find_map(|line| line.strip_prefix("# simple: "));
+    match line.expect("a trace names its simple version") {
+        "modulo" => Some(Policy::modulo()),
+        "cache_alone" => Some(Policy::cache_alone()),
+        "table_alone" => Some(Policy::table_alone()),
+        "ranking_alone" => Some(Policy::ranking_alone()),
+        "none" => None,
+        other => panic!("no policy `{other}`"),
+    }
+}
+
+fn render(text: &str, world: &World, simple: Option<&World>) -> String {
+    let mut out = String::new();
+    for comment in text.lines().take_while(|line| line.starts_with('#')) {
+        writeln!(out, "{comment}").expect("writing to a string never fails");
+    }
+    for outcome in world.outcomes() {
+        writeln!(out, "{outcome}").expect("writing to a string never fails");
+    }
+    let generations: Vec<String> = world
+        .generations()
+        .iter()
+        .map(|(id, generation)| format!("{id}={generation}"))
+        .collect();
+    let held: Vec<String> = world
+        .held_flows()
+        .iter()
+        .map(|(id, flows)| format!("{id}={flows}"))
+        .collect();
+    writeln!(out, "generations {}", generations.join(" ")).expect("writing never fails");
+    writeln!(out, "held {}", held.join(" ")).expect("writing never fails");
+    write!(out, "product {}", world.summary()).expect("writing never fails");
+    if let Some(simple) = simple {
+        write!(out, "\nsimple  {}", simple.summary()).expect("writing never fails");
+    }
+    out
+}
+
+fn stem(path: &Path) -> String {
+    path.file_stem()
+        .map(|stem| stem.to_string_lossy().into_owned())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/plantainquayctl/src/check.rs
@@ -0,0 +1,54 @@
+//! `check FILE`: is the document free of faults?
+
+use std::path::Path;
+
+use plantainquay_schema::{Document, Faults};
+use serde_json::json;
+
+use crate::load::{UsageError, read};
+use crate::{Answer, Report};
+
+/// Checks a document and lists every fault.
+///
+/// # Errors
+///
+/// Fails when the file can't be read.
+pub fn check(path: &Path) -> Result<Report, UsageError> {
+    Ok(match Document::from_yaml(&read(path)?) {
+        Ok(document) => good(&document),
+        Err(faults) => bad(&faults),
+    })
+}
+
+fn good(document: &Document) -> Report {
+    let services = document.services.len();
+    let upstreams: usize = document.services.iter().map(|s| s.upstreams.len()).sum();
+    let limits: usize = document.services.iter().map(|s| s.limits.len()).sum();
+    Report {
+        answer: Answer::Yes,
+        text: format!(
+            "good: environment {}, generation {}, {services} services, {upstreams} upstreams, \
+             {limits} limits",
+            document.environment, document.generation
+        ),
+        json: json!({
+            "good": true,
+            "environment": document.environment.as_str(),
+            "generation": document.generation.0,
+            "services": services,
+            "upstreams": upstreams,
+            "limits": limits,
+        }),
+    }
+}
+
+fn bad(faults: &Faults) -> Report {
+    let listed = faults
+        .iter()
+        .map(|f| json!({ "path": f.path, "reason": f.reason }));
+    Report {
+        answer: Answer::No,
+        text: faults.to_string(),
+        json: json!({ "good": false, "faults": listed.collect::<Vec<_>>() }),
+    }
+}
--- /dev/null
+++ b/crates/plantainquayctl/src/cli.rs
@@ -0,0 +1,101 @@
+//! The command line.
+
+use std::path::{Path, PathBuf};
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use crate::load::UsageError;
+use crate::{OutputFormat, Report, check, diff, digest, promote, status};
+
+/// The command line's shape.
+#[must_use]
+pub fn command() -> Command {
+    let output = Arg::new("output")
+        .long("output")
+        .global(true)
+        .default_value("text")
+        .value_parser(["text", "json"])
+        .help("How the answer is printed");
+    Command::new("plantainquayctl")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Checks and compares plantainquay documents; shows daemons. Changes nothing.")
+        .after_help("Exit codes: 0 good, 1 the answer is no, 2 wrong use.")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(output)
+        .subcommand(
+            Command::new("check")
+                .about("List a document's faults")
+                .arg(file("FILE")),
+        )
+        .subcommand(
+            Command::new("diff")
+                .about("Show what a document would change")
+                .arg(file("OLD"))
+                .arg(file("NEW")),
+        )
+        .subcommand(
+            Command::new("digest")
+                .about("Show a document's digests")
+                .arg(file("FILE")),
+        )
+        .subcommand(
+            Command::new("promote")
+                .about("Say whether a tried document may be promoted")
+                .arg(file("TRIAL"))
+                .arg(file("PRODUCTION"))
+                .arg(
+                    file("IN_FORCE")
+                        .long("in-force")
+                        .required(false)
+                        .help("The document in force in production"),
+                ),
+        )
+        .subcommand(
+            Command::new("status").about("Show daemons").arg(
+                Arg::new("ADDRESS")
+                    .required(true)
+                    .action(ArgAction::Append)
+                    .num_args(1..)
+                    .help("ip:port of a daemon's HTTP endpoint"),
+            ),
+        )
+}
+
+/// Carries out one command.
+///
+/// # Errors
+///
+/// Fails when the command can't be carried out as given.
+pub fn run(matches: &ArgMatches) -> Result<(Report, OutputFormat), UsageError> {
+    let format = match matches.get_one::<String>("output").map(String::as_str) {
+        Some("json") => OutputFormat::Json,
+        _ => OutputFormat::Text,
+    };
+    let report = match matches.subcommand() {
+        Some(("check", sub)) => check(path(sub, "FILE"))?,
+        Some(("diff", sub)) => diff(path(sub, "OLD"), path(sub, "NEW"))?,
+        Some(("digest", sub)) => digest(path(sub, "FILE"))?,
+        Some(("promote", sub)) => {
+            let in_force = sub.get_one::<PathBuf>("IN_FORCE").map(PathBuf::as_path);
+            promote(path(sub, "TRIAL"), path(sub, "PRODUCTION"), in_force)?
+        }
+        Some(("status", sub)) => {
+            let addresses = sub.get_many::<String>("ADDRESS").into_iter().flatten();
+            status(addresses.map(String::as_str))?
+        }
+        _ => unreachable!("clap requires a known subcommand"),
+    };
+    Ok((report, format))
+}
+
+fn file(name: &'static str) -> Arg {
+    Arg::new(name)
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn path<'a>(matches: &'a ArgMatches, name: &str) -> &'a Path {
+    let path: &PathBuf = matches.get_one(name).expect("clap requires the argument");
+    path
+}
--- a/crates/plantainquayctl/src/lib.rs
+++ b/crates/plantainquayctl/src/lib.rs
@@ -1,1 +1,22 @@
+//! The operators' command-line tool.
 //!
+//! It reads documents and the daemons' read-only endpoints; it changes nothing anywhere. Each
+//! command is a function that returns a [`Report`], which the binary prints as text or JSON.
+
+mod check;
+mod cli;
+mod diff;
+mod digest;
+mod load;
+mod promote;
+mod report;
+mod status;
+
+pub use check::check;
+pub use cli::{command, run};
+pub use diff::diff;
+pub use digest::digest;
+pub use load::{UsageError, load_document};
+pub use promote::promote;
+pub use report::{Answer, OutputFormat, Report};
+pub use status::{status, table};
--- /dev/null
+++ b/crates/plantainquayctl/src/load.rs
@@ -0,0 +1,36 @@
+//! Reads documents.
+
+use std::fs;
+use std::path::Path;
+
+use plantainquay_schema::{Document, Faults};
+use thiserror::Error;
+
+/// A command that can't be carried out; exit code 2.
+#[derive(Debug, Error)]
+pub enum UsageError {
+    /// A file can't be read.
+    #[error("{0}: {1}")]
+    Read(String, std::io::Error),
+    /// A document that the command needs has faults.
+    #[error("{0}: {1}")]
+    Faults(String, Faults),
+    /// An address is not `ip:port`.
+    #[error("`{0}` is not `ip:port`")]
+    Address(String),
+}
+
+/// Reads and checks a document that a command needs to be free of faults.
+///
+/// # Errors
+///
+/// Fails when the file can't be read or has faults.
+pub fn load_document(path: &Path) -> Result<Document, UsageError> {
+    let text = read(path)?;
+    Document::from_yaml(&text)
+        .map_err(|faults| UsageError::Faults(path.display().to_string(), faults))
+}
+
+pub(crate) fn read(path: &Path) -> Result<String, UsageError> {
+    fs::read_to_string(path).map_err(|error| UsageError::Read(path.display().to_string(), error))
+}
--- /dev/null
+++ b/crates/plantainquayctl/tests/commands.rs
@@ -0,0 +1,105 @@
+//! Each command's answer, as an operator sees it.
+
+use std::path::{Path, PathBuf};
+
+use plantainquay_schema::wire::status::Status;
+use plantainquayctl::{Answer, OutputFormat, Report, UsageError, command, run, table};
+use rstest::{Context, rstest};
+
+const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+
+fn call(words: &[&str]) -> Result<(Report, OutputFormat), UsageError> {
+    let words = std::iter::once("plantainquayctl").chain(words.iter().copied());
+    run(&command()
+        .try_get_matches_from(words)
+        .expect("the words are well formed"))
+}
+
+fn answer(words: &[&str]) -> String {
+    match call(words) {
+        Ok((report, format)) => format!("{:?}\n{}", report.answer, report.render(format)),
+        Err(error) => format!("wrong use\n{error}"),
+    }
+}
+
+#[rstest]
+fn check_lists_every_fault(#[files("tests/broken/*.yaml")] path: PathBuf) {
+    let stem = path
+        .file_stem()
+        .expect("the file has a name")
+        .to_string_lossy()
+        .into_owned();
+    let path = path.to_str().expect("the path is UTF-8");
+    insta::with_settings!({ omit_expression => true, prepend_module_to_snapshot => false }, {
+        insta::assert_snapshot!(format!("check_{stem}"), answer(&["check", path]));
+    });
+}
+
+#[rstest]
+#[case::gusterna("gusterna.yaml")]
+#[case::twmpathau("twmpathau.yaml")]
+fn check_accepts_examples(#[case] file: &str) {
+    let path = format!("{EXAMPLES}/{file}");
+    let (report, _) = call(&["check", &path]).expect("the example is readable");
+    assert_eq!(report.answer, Answer::Yes, "{}", report.text);
+}
+
+#[rstest]
+#[case::digest(&["digest", "trial.yaml"])]
+#[case::digest_json(&["digest", "production_3.yaml", "--output", "json"])]
+#[case::diff(&["diff", "production_4.yaml", "production_5_other_limit.yaml"])]
+#[case::diff_json(&["diff", "production_4.yaml", "production_5_other_limit.yaml", "--output", "json"])]
+#[case::diff_of_nothing(&["diff", "production_3.yaml", "production_4.yaml"])]
+#[case::promote(&["promote", "trial.yaml", "production_4.yaml", "--in-force", "production_3.yaml"])]
+#[case::promote_other_text(&["promote", "trial.yaml", "production_5_other_limit.yaml"])]
+#[case::promote_backwards(
+    &["promote", "trial.yaml", "production_3.yaml", "--in-force", "production_4.yaml"]
+)]
+#[case::promote_in_one_environment(&["promote", "trial.yaml", "trial.yaml"])]
+fn command_answers(#[context] cx: Context, #[case] words: &[&str]) {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/documents");
+    let full: Vec<String> = words
+        .iter()
+        .map(|word| match word.strip_suffix(".yaml") {
+            Some(_) => folder.join(word).to_string_lossy().into_owned(),
+            None => (*word).to_owned(),
+        })
+        .collect();
+    let full: Vec<&str> = full.iter().map(String::as_str).collect();
+    let name = cx.description.expect("each case has a name");
+    insta::with_settings!({ omit_expression => true, prepend_module_to_snapshot => false }, {
+        insta::assert_snapshot!(format!("command_{name}"), answer(&full));
+    });
+}
+
+#[test]
+fn wrong_use_is_told_apart_from_no() {
+    let missing = answer(&["check", "/nonexistent/document.yaml"]);
+    assert!(missing.starts_with("wrong use"), "{missing}");
+    let address = answer(&["status", "localhost"]);
+    assert_eq!(address, "wrong use\n`localhost` is not `ip:port`");
+    assert!(
+        command()
+            .try_get_matches_from(["plantainquayctl", "drop"])
+            .is_err()
+    );
+}
+
+#[test]
+fn status_shows_a_table() {
+    let address = "127.0.0.1:8001".parse().expect("an address");
+    let silent = "127.0.0.1:8002".parse().expect("an address");
+    let status = Status {
+        role: "agent".to_owned(),
+        instance: "agent-curing-1".to_owned(),
+        generation: 7,
+        open_flows: 42,
+        leaving: true,
+        ..Status::default()
+    };
+    let report = table(&[(address, Some(status)), (silent, None)]);
+    assert_eq!(report.answer, Answer::No);
+    insta::with_settings!({ omit_expression => true, prepend_module_to_snapshot => false }, {
+        insta::assert_snapshot!("status_table", report.text);
+    });
+}
--- a/crates/stand_ins/src/fabric/flows.rs
+++ b/crates/stand_ins/src/fabric/flows.rs
@@ -20,7 +20,7 @@
 const SHARDS: usize = 16;
 const DATAGRAM_BYTES: usize = 65_535;
 const MIN_WAIT: Duration = Duration::from_millis(1);
-const IDLE_WAIT: Duration = Duration::from_secs(60);
+const IDLE_WAIT: Duration = Duration::from_mins(1);
 
 /// The fabric: flows in shards, each under its own lock.
 #[derive(Debug)]
--- a/crates/stand_ins/src/upstream.rs
+++ b/crates/stand_ins/src/upstream.rs
@@ -90,12 +90,7 @@
 #[web::post("/bookings/{id}")]
 async fn booking(req: HttpRequest, id: web::types::Path<String>, state: State) -> HttpResponse {
     note_meant_for(&req, &state);
-    {
-        let mut seen = state.seen.lock();
-        *seen.ledger.runs.entry(id.clone()).or_default() += 1;
-        seen.running += 1;
-        seen.ledger.most_running = seen.ledger.most_running.max(seen.running);
-    }
+    state.seen.lock().start(&id);
     tokio::time::sleep(Duration::from_millis(state.settings.booking_ms)).await;
     state.seen.lock().running -= 1;
     let settings = &state.settings;
@@ -127,6 +122,14 @@
     }
 }
 
+impl Seen {
+    fn start(&mut self, id: &str) {
+        *self.ledger.runs.entry(id.to_owned()).or_default() += 1;
+        self.running += 1;
+        self.ledger.most_running = self.ledger.most_running.max(self.running);
+    }
+}
+
 impl Drop for OpenFeed {
     fn drop(&mut self) {
         self.0.seen.lock().ledger.open_feeds -= 1;
--- a/examples/demo/cluster.rs
+++ b/examples/demo/cluster.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, bail};
@@ -50,7 +50,7 @@
     fabric: SocketAddr,
     folder: PathBuf,
     next_balancer: usize,
-    _others: Vec<ChildProcess>,
+    others: Vec<ChildProcess>,
 }
 
 impl Cluster {
@@ -71,7 +71,7 @@
             fabric: free_address()?,
             folder,
             next_balancer: 1,
-            _others: Vec::new(),
+            others: Vec::new(),
         };
         cluster.start_platform().await?;
         cluster.start_upstreams().await?;
@@ -145,7 +145,7 @@
     }
 
     /// The folder with the processes' logs and settings.
-    pub(crate) fn folder(&self) -> &PathBuf {
+    pub(crate) fn folder(&self) -> &Path {
         &self.folder
     }
 
@@ -292,13 +292,13 @@
         Ok(())
     }
 
-    fn start_other(&mut self, name: &str, kind: &str, file: &PathBuf) -> Result<()> {
+    fn start_other(&mut self, name: &str, kind: &str, file: &Path) -> Result<()> {
         let process = self.start_process(name, kind, file)?;
-        self._others.push(process);
+        self.others.push(process);
         Ok(())
     }
 
-    fn start_process(&self, name: &str, kind: &str, file: &PathBuf) -> Result<ChildProcess> {
+    fn start_process(&self, name: &str, kind: &str, file: &Path) -> Result<ChildProcess> {
         let mut log = String::new();
         write!(log, "{name}.log")?;
         let file = file.to_str().context("temporary folder is not UTF-8")?;
--- a/examples/demo/scenario.rs
+++ b/examples/demo/scenario.rs
@@ -95,13 +95,12 @@
     let mut draining = None;
     for change in 0..changes {
         timer.tick().await;
-        match draining.take() {
-            Some(index) => set_state(cluster, index, "serving")?,
-            None => {
-                let index = usize::try_from(change / 2).unwrap_or(0) % upstreams;
-                set_state(cluster, index, "draining")?;
-                draining = Some(index);
-            }
+        if let Some(index) = draining.take() {
+            set_state(cluster, index, "serving")?;
+        } else {
+            let index = usize::try_from(change / 2).unwrap_or(0) % upstreams;
+            set_state(cluster, index, "draining")?;
+            draining = Some(index);
         }
         cluster.publish().await?;
     }
