Compare the ways for flows to survive; a fault shows

Conclusion: the product loses flows of callers that don't echo when balancers are generations behind.

--- a/crates/plantainquay_core/src/agent/packet.rs
+++ b/crates/plantainquay_core/src/agent/packet.rs
@@ -1,6 +1,6 @@
 //! What an agent does with a packet.
 
-use plantainquay_schema::{FlowId, TunnelHeader, UpstreamNumber, UpstreamState};
+use plantainquay_schema::{FlowId, Load, TunnelHeader, UpstreamNumber, UpstreamState};
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -107,14 +107,16 @@
     (place(own, Some(load)) == Placement::Sibling).then_some(number)
 }
 
-/// One random sibling among those that reported lately.
-fn random_reporter<T>(cx: &Context<'_, T>) -> Option<(UpstreamNumber, plantainquay_schema::Load)> {
+/// One random sibling among those that reported lately, the most recent reports first.
+fn random_reporter<T>(cx: &Context<'_, T>) -> Option<(UpstreamNumber, Load)> {
     let siblings = cx.state.siblings.lock();
     let numbers = serving_siblings(cx);
     let start = random_start(cx, numbers.len())?;
-    let reported = rotated(&numbers, start)
-        .filter_map(|number| siblings.fresh(cx.now, number).map(|load| (number, load)));
-    reported.into_iter().next()
+    let with_load = |number, load: Option<Load>| load.map(|load| (number, load));
+    let recent = |number| with_load(number, siblings.recent(cx.now, number));
+    let fresh = |number| with_load(number, siblings.fresh(cx.now, number));
+    let chosen = rotated(&numbers, start).find_map(recent);
+    chosen.or_else(|| rotated(&numbers, start).find_map(fresh))
 }
 
 /// A sibling that takes new flows, as far as is known.
--- a/crates/plantainquay_core/src/agent/siblings.rs
+++ b/crates/plantainquay_core/src/agent/siblings.rs
@@ -7,6 +7,8 @@
 
 use crate::Timestamp;
 
+/// Age up to which a report is preferred to older ones.
+const RECENT: Duration = Duration::from_millis(500);
 /// Age at which a report says nothing any more.
 const REPORT_TTL: Duration = Duration::from_secs(3);
 
@@ -33,6 +35,12 @@
         (now.since(report.at) <= REPORT_TTL).then_some(report.load)
     }
 
+    /// Like [`Self::fresh`], for a report that is recent.
+    pub(crate) fn recent(&self, now: Timestamp, number: UpstreamNumber) -> Option<Load> {
+        let report = self.reports.get(&number)?;
+        (now.since(report.at) <= RECENT).then_some(report.load)
+    }
+
     /// Counts a flow that was passed to a sibling since its last report.
     pub(crate) fn add_flow(&mut self, number: UpstreamNumber) {
         if let Some(report) = self.reports.get_mut(&number) {
--- a/crates/plantainquay_trace/src/policy.rs
+++ b/crates/plantainquay_trace/src/policy.rs
@@ -52,6 +52,16 @@
         }
     }
 
+    /// The echoed tag, and agents that know only their own flows.
+    #[must_use]
+    pub fn tags_alone() -> Self {
+        Self {
+            on_packet: Box::new(own_flows_only),
+            talks: false,
+            ..Self::product()
+        }
+    }
+
     /// The product's table, and agents that know only their own flows.
     #[must_use]
     pub fn table_alone() -> Self {
--- a/examples/placement/model.rs
+++ b/examples/placement/model.rs
@@ -26,7 +26,6 @@
 const CREST: Duration = Duration::from_secs(5);
 const CREST_FACTOR: f64 = 3.0;
 const WARM_UP: Duration = Duration::from_secs(60);
-const RUN: Duration = Duration::from_secs(240);
 /// The first agents have passed their ramp when the model starts.
 const START: Timestamp = Timestamp(20_000_000);
 
@@ -38,6 +37,8 @@
     /// Whether agents send each other messages.
     pub(crate) talks: bool,
     pub(crate) seed: u64,
+    /// Modelled time, the warm-up included.
+    pub(crate) run: Duration,
 }
 
 /// What was measured.
@@ -82,6 +83,7 @@
             flows_per_upstream: 700.0,
             talks: true,
             seed: 1,
+            run: Duration::from_mins(4),
         }
     }
 }
@@ -131,7 +133,7 @@
     /// Runs to the end.
     pub(crate) fn run(mut self) -> Measured {
         while let Some(Reverse((at, id))) = self.events.pop() {
-            if at > START + RUN {
+            if at > START + self.config.run {
                 break;
             }
             self.now = at;
--- /dev/null
+++ b/examples/survival/main.rs
@@ -0,0 +1,180 @@
+//! Which flows survive when buckets move, under the ways that were weighed.
+//!
+//! `cargo run --release --example survival`. Each row replays the same generated trace: flows that
+//! stay open while documents follow each other, balancers up to five generations apart, and each
+//! balancer dies once. Figures are the share of flows that were reset while their holder lived,
+//! or that were out of reach at the end.
+
+use plantainquay_schema::{Name, UpstreamNumber};
+use plantainquay_trace::{
+    DocumentSpec, Event, Fate, Policy, ProcessId, ServiceSpec, TimedEvent, Trace, World,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const SEED: u64 = 1;
+const FLOWS: usize = 300;
+const BALANCERS: usize = 4;
+const UPSTREAMS: u32 = 40;
+const MOVES: [u64; 4] = [1, 2, 5, 20];
+const MOST_BEHIND: u64 = 5;
+/// Time between two documents; flows live for hours.
+const INTERVAL_MS: u64 = 600_000;
+
+type Way = (&'static str, fn() -> Policy);
+
+const WAYS: [Way; 7] = [
+    ("hash modulo", Policy::modulo),
+    ("table alone", Policy::table_alone),
+    ("cache alone", Policy::cache_alone),
+    ("ranking alone", Policy::ranking_alone),
+    ("tag alone", Policy::tags_alone),
+    ("ranking and talk", Policy::without_tags),
+    ("product", Policy::product),
+];
+
+fn main() {
+    println!(
+        "{:<18} {:>6} {:>8} {:>8} {:>8} {:>8}",
+        "way", "echo", "1 move", "2", "5", "20"
+    );
+    for (name, policy) in WAYS {
+        for echo_percent in [0, 70, 100] {
+            let shares: Vec<String> = MOVES
+                .iter()
+                .map(|moves| format!("{:>7.1}%", lost_percent(policy(), *moves, echo_percent)))
+                .collect();
+            println!("{name:<18} {echo_percent:>5}% {}", shares.join(" "));
+        }
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+fn lost_percent(policy: Policy, moves: u64, echo_percent: u32) -> f64 {
+    let mut world = World::new(policy);
+    world.replay(&trace(moves, echo_percent));
+    let unreachable = (0..FLOWS).filter(|flow| {
+        let name = flow_name(*flow);
+        let last = world
+            .outcomes()
+            .iter()
+            .rfind(|outcome| outcome.flow == name);
+        last.is_some_and(|outcome| matches!(outcome.fate, Fate::Lost(_)))
+    });
+    let lost = world.summary().broken + unreachable.count() as u64;
+    lost as f64 * 100.0 / FLOWS as f64
+}
+
+fn trace(moves: u64, echo_percent: u32) -> Trace {
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut trace = Trace::default();
+    let mut push = |millis, event| trace.events.push(TimedEvent { millis, event });
+    for index in 0..BALANCERS {
+        push(0, Event::Start(balancer(index)));
+    }
+    push(0, Event::Publish(document(1, &mut rng)));
+    push(
+        0,
+        Event::Apply {
+            process: None,
+            key: key(1),
+        },
+    );
+    for flow in 0..FLOWS {
+        push(
+            1,
+            Event::Open {
+                flow: flow_name(flow),
+                service: "feed".into(),
+                via: balancer_name(flow % BALANCERS),
+                echoes: rng.random_range(0..100) < echo_percent,
+            },
+        );
+    }
+    for generation in 2..=moves + 1 {
+        let start = (generation - 1) * INTERVAL_MS;
+        push(start, Event::Publish(document(generation, &mut rng)));
+        for number in (1..=UPSTREAMS).filter_map(UpstreamNumber::new) {
+            let agent = ProcessId::Agent("feed".into(), number);
+            push(
+                start,
+                Event::Apply {
+                    process: Some(agent),
+                    key: key(generation),
+                },
+            );
+        }
+        for index in 0..BALANCERS {
+            // Each balancer is a different number of generations behind.
+            let behind = rng.random_range(0..MOST_BEHIND);
+            let known = generation.saturating_sub(behind).max(1);
+            push(
+                start,
+                Event::Apply {
+                    process: Some(balancer(index)),
+                    key: key(known),
+                },
+            );
+        }
+        let dies = balancer(usize::try_from(generation).unwrap_or(0) % BALANCERS);
+        push(start + 1_000, Event::Die(dies.clone()));
+        push(start + 2_000, Event::Start(dies.clone()));
+        push(
+            start + 2_000,
+            Event::Apply {
+                process: Some(dies),
+                key: key(generation),
+            },
+        );
+        send_all(start + 10_000, &mut rng, &mut push);
+        // What was lost the first time is repeated, as TCP does.
+        send_all(start + 20_000, &mut rng, &mut push);
+    }
+    trace
+}
+
+fn send_all(millis: u64, rng: &mut StdRng, push: &mut impl FnMut(u64, Event)) {
+    for flow in 0..FLOWS {
+        let via = balancer_name(rng.random_range(0..BALANCERS));
+        push(
+            millis,
+            Event::Send {
+                flow: flow_name(flow),
+                via,
+            },
+        );
+    }
+}
+
+/// One of four upstreams serves, the others drain; different ones in each generation.
+fn document(generation: u64, rng: &mut StdRng) -> DocumentSpec {
+    let numbers: Vec<UpstreamNumber> = (1..=UPSTREAMS).filter_map(UpstreamNumber::new).collect();
+    let (serving, draining): (Vec<_>, Vec<_>) = numbers
+        .into_iter()
+        .partition(|_| rng.random_range(0..4) == 0);
+    DocumentSpec {
+        key: key(generation),
+        generation,
+        services: vec![ServiceSpec {
+            name: "feed".into(),
+            serving,
+            draining,
+        }],
+    }
+}
+
+fn key(generation: u64) -> Name {
+    Name::from(generation.to_string().as_str())
+}
+
+fn flow_name(index: usize) -> Name {
+    Name::from(format!("f{index}").as_str())
+}
+
+fn balancer_name(index: usize) -> Name {
+    Name::from(format!("b{index}").as_str())
+}
+
+fn balancer(index: usize) -> ProcessId {
+    ProcessId::Balancer(balancer_name(index))
+}
