--- a/crates/plantainquay_trace/src/world.rs
+++ b/crates/plantainquay_trace/src/world.rs
@@ -333,12 +333,12 @@
                 destination: service_address(service.as_str()),
             },
             service: service.clone(),
-            echoes,
+            echoes: echoes && self.policy.tags,
             holder: None,
             over: false,
         };
         let mut segment = Segment::opening(caller_flow.tuple);
-        segment.has_timestamp = echoes;
+        segment.has_timestamp = caller_flow.echoes;
         self.flows.insert(flow.clone(), caller_flow);
         self.at_balancer(flow, via, &segment);
     }
