Documents spread by gossip from a few watchers

Cause: every process held a watch of its own; at 93,000 processes that alone is beyond the service's budget, and a process cut off from the service learned nothing.

Change: three watchers in each data centre by rendezvous rank over the live instances; the others hear from peers (signed calls over tonic, three peers at once in two rounds, one random peer a second besides) and poll slowly at a rate that the whole fleet shares. Tunnel and calls share one address, so that a document names the peers.

Calls of the planned fleet, worked out in core/tests/gossip.rs: below 500 a second.

Documents travel whole; deltas by content are not built.

--- a/crates/plantainquay_core/src/documents.rs
+++ b/crates/plantainquay_core/src/documents.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use plantainquay_schema::{Digest, Document, Generation, Name};
+use plantainquay_schema::{Digest, Document, Generation, InForce, Name};
 
 /// The document in force and how it may be replaced.
 #[derive(Debug, Default)]
@@ -73,6 +73,19 @@
         self.in_force.as_ref().map(|(_, digest)| *digest)
     }
 
+    /// What is said of it to other processes.
+    #[must_use]
+    pub fn to_in_force(&self) -> InForce {
+        let Some((document, digest)) = &self.in_force else {
+            return InForce::default();
+        };
+        InForce {
+            environment: document.environment.clone(),
+            generation: document.generation,
+            digest: *digest,
+        }
+    }
+
     /// How often two documents had the same generation.
     #[must_use]
     pub fn conflicts(&self) -> u64 {
--- a/crates/plantainquay_core/src/lib.rs
+++ b/crates/plantainquay_core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod agent;
 pub mod balancer;
 mod documents;
+pub mod gossip;
 mod packet;
 mod rendezvous;
 pub mod requests;
--- /dev/null
+++ b/crates/plantainquay_core/tests/gossip.rs
@@ -0,0 +1,126 @@
+//! Who watches, who polls and who is told: within the budget of calls, whatever the fleet's size.
+
+use std::time::Duration;
+
+use plantainquay_core::gossip::{
+    Comparison, FLEET_POLLS_PER_SECOND, WATCHERS_PER_DATA_CENTRE, compare, is_watcher, peers,
+    poll_interval,
+};
+use plantainquay_schema::{Digest, Generation, InForce, Instance, Name};
+use rstest::rstest;
+
+/// The plan: 13,000 nodes and 80,000 agents in 17 data centres; calls a second in all.
+const PROCESSES: usize = 93_000;
+const DATA_CENTRES: usize = 17;
+const MOST_CALLS_PER_SECOND: f64 = 500.0;
+const CHANGES_PER_DAY: f64 = 31_000.0;
+const SECONDS_PER_DAY: f64 = 86_400.0;
+/// A watch ends after this time even when nothing changes.
+const WATCH_SECONDS: f64 = 30.0;
+
+fn instance(index: usize, data_centres: usize) -> Instance {
+    Instance {
+        name: Name::from(format!("instance-{index}").as_str()),
+        data_centre: Name::from(format!("centre-{}", index % data_centres).as_str()),
+        tunnel: format!("10.{}.{}.1:4789", index >> 8, index & 0xff)
+            .parse()
+            .expect("an address"),
+        leaving: false,
+    }
+}
+
+fn watchers(instances: &[Instance]) -> usize {
+    let watches = |i: &&Instance| is_watcher(&i.name, &i.data_centre, instances);
+    instances.iter().filter(watches).count()
+}
+
+#[test]
+fn each_data_centre_has_its_watchers() {
+    let instances: Vec<Instance> = (0..200).map(|i| instance(i, 4)).collect();
+    assert_eq!(watchers(&instances), 4 * WATCHERS_PER_DATA_CENTRE);
+}
+
+#[test]
+fn leaving_watcher_is_replaced_and_stranger_watches() {
+    let mut instances: Vec<Instance> = (0..50).map(|i| instance(i, 1)).collect();
+    let first = instances
+        .iter()
+        .position(|i| is_watcher(&i.name, &i.data_centre, &instances));
+    instances[first.expect("somebody watches")].leaving = true;
+    let live: Vec<Instance> = instances.iter().filter(|i| !i.leaving).cloned().collect();
+    assert_eq!(watchers(&live), WATCHERS_PER_DATA_CENTRE);
+    assert!(is_watcher(
+        &Name::from("unlisted"),
+        &Name::from("centre-0"),
+        &instances
+    ));
+}
+
+/// Calls of the whole planned fleet, worked out from the rank and interval functions.
+#[test]
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+fn planned_fleet_stays_within_the_budget_of_calls() {
+    let watchers = (DATA_CENTRES * WATCHERS_PER_DATA_CENTRE) as f64;
+    let watch_calls = watchers * (1.0 / WATCH_SECONDS + CHANGES_PER_DAY / SECONDS_PER_DAY);
+    let shortest = Duration::from_secs(30);
+    let polls: f64 = (0..PROCESSES as u64)
+        .map(|seed| 1.0 / poll_interval(PROCESSES, shortest, seed).as_secs_f64())
+        .sum();
+    let calls = watch_calls + polls;
+    assert!(calls <= MOST_CALLS_PER_SECOND, "{calls} calls a second");
+    assert!(
+        polls >= f64::from(FLEET_POLLS_PER_SECOND) * 0.9,
+        "polls are not slower than needed"
+    );
+}
+
+#[rstest]
+#[case::small_fleet(25, 30)]
+#[case::large_fleet(93_000, 310)]
+fn polls_are_spread_around_their_interval(#[case] processes: usize, #[case] seconds: u64) {
+    let intervals = (0..1_000).map(|s| poll_interval(processes, Duration::from_secs(30), s));
+    let mean = Duration::from_secs(seconds);
+    let (low, high) = (mean * 7 / 8, mean * 9 / 8);
+    for interval in intervals {
+        assert!(interval >= low && interval <= high, "{interval:?}");
+    }
+}
+
+#[test]
+fn peers_are_distinct_and_never_oneself() {
+    let instances: Vec<Instance> = (0..5).map(|i| instance(i, 1)).collect();
+    let own = instances[2].tunnel;
+    for seed in 0..200 {
+        let chosen = peers(None, &instances, own, seed, 3);
+        assert!(!chosen.contains(&own) && !chosen.is_empty());
+        for (i, peer) in chosen.iter().enumerate() {
+            assert!(!chosen[..i].contains(peer));
+        }
+    }
+    assert!(peers(None, &[], own, 1, 3).is_empty());
+}
+
+#[rstest]
+#[case::nothing_known("", 0, "one", 1, Comparison::OtherIsNewer)]
+#[case::peer_knows_nothing("one", 3, "", 0, Comparison::OwnIsNewer)]
+#[case::older("one", 3, "one", 2, Comparison::OwnIsNewer)]
+#[case::same("one", 3, "one", 3, Comparison::Same)]
+#[case::other_environment("one", 3, "two", 9, Comparison::Unrelated)]
+fn documents_are_compared(
+    #[case] own_environment: &str,
+    #[case] own: u64,
+    #[case] other_environment: &str,
+    #[case] other: u64,
+    #[case] expected: Comparison,
+) {
+    let in_force = |environment: &str, generation| InForce {
+        environment: environment.into(),
+        generation: Generation(generation),
+        digest: Digest::default(),
+    };
+    let compared = compare(
+        &in_force(own_environment, own),
+        &in_force(other_environment, other),
+    );
+    assert_eq!(compared, expected);
+}
--- a/crates/plantainquay_net/src/agent/runtime.rs
+++ b/crates/plantainquay_net/src/agent/runtime.rs
@@ -230,7 +230,7 @@
             ("destination", &segment.tuple.destination),
             ("reason", reason),
         ];
-        event(Level::Warn, "flow_reset", &pairs);
+        event(Level::Info, "flow_reset", &pairs);
         if let Ok(answer) = reset_for(packet) {
             self.send_to_fabric(&answer);
         }
--- /dev/null
+++ b/crates/plantainquay_net/src/gossip.rs
@@ -0,0 +1,210 @@
+//! Spreads documents between the system's processes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::Level;
+use plantainquay_core::gossip::{Comparison, PUSH_PEERS, Peers, compare, peers};
+use plantainquay_schema::wire::peer::documents_client::DocumentsClient;
+use plantainquay_schema::wire::peer::documents_server::{Documents, DocumentsServer};
+use plantainquay_schema::wire::peer::{ExchangeReply, Sealed};
+use plantainquay_schema::{Document, InForce, wire};
+use thiserror::Error;
+use tokio::time::MissedTickBehavior;
+use tonic::transport::{Channel, Endpoint, Server};
+use tonic::{Request, Response, Status};
+
+use crate::{Clock, DocumentStore, InstanceView, SealError, Sealer, event};
+
+/// Interval of exchanges with one random peer, for what the pushes have missed.
+const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
+/// Rounds in which a new document is pushed; the second one finds most of those that the first
+/// one missed.
+const PUSH_ROUNDS: usize = 2;
+const PUSH_INTERVAL: Duration = Duration::from_millis(100);
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest message, in bytes; a document of the configuration service is at most a megabyte.
+const MAX_MESSAGE_BYTES: usize = 4 << 20;
+
+/// One process's part in spreading documents.
+#[derive(Debug)]
+pub struct Gossip {
+    store: Arc<DocumentStore>,
+    instances: Arc<InstanceView>,
+    sealer: Sealer,
+    own: SocketAddr,
+    clock: Clock,
+}
+
+/// Why a call to a peer came to nothing.
+#[derive(Debug, Error)]
+enum CallError {
+    #[error("connection: {0}")]
+    Transport(#[from] tonic::transport::Error),
+    #[error("call: {0}")]
+    Status(#[from] Box<Status>),
+    #[error("message: {0}")]
+    Seal(#[from] SealError),
+    #[error("message: malformed digest")]
+    Digest(#[from] std::array::TryFromSliceError),
+}
+
+impl Gossip {
+    /// A part that listens on `own` and tells peers of what `store` puts in force.
+    #[must_use]
+    pub fn new(
+        store: Arc<DocumentStore>,
+        instances: Arc<InstanceView>,
+        sealer: Sealer,
+        own: SocketAddr,
+        clock: Clock,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            store,
+            instances,
+            sealer,
+            own,
+            clock,
+        })
+    }
+
+    /// Answers peers until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be bound.
+    pub async fn serve(self: Arc<Self>) -> Result<(), tonic::transport::Error> {
+        let own = self.own;
+        let service = DocumentsServer::from_arc(self)
+            .max_decoding_message_size(MAX_MESSAGE_BYTES)
+            .max_encoding_message_size(MAX_MESSAGE_BYTES);
+        Server::builder().add_service(service).serve(own).await
+    }
+
+    /// Tells peers of each new document at once, and asks a random one now and then.
+    pub async fn spread(self: Arc<Self>) {
+        let mut changes = self.store.changes();
+        let mut interval = tokio::time::interval(EXCHANGE_INTERVAL);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = interval.tick() => self.exchange_with(1),
+                // The store lives as long as this task.
+                _changed = changes.changed() => {
+                    for _ in 0..PUSH_ROUNDS {
+                        self.exchange_with(PUSH_PEERS);
+                        tokio::time::sleep(PUSH_INTERVAL).await;
+                    }
+                }
+            }
+        }
+    }
+
+    fn exchange_with(self: &Arc<Self>, count: usize) {
+        for peer in self.draw(count) {
+            tokio::spawn(Arc::clone(self).exchange(peer));
+        }
+    }
+
+    fn draw(&self, count: usize) -> Peers {
+        let document = self.store.in_force();
+        let instances = self.instances.get();
+        let seed = self.clock.now().0 ^ u64::from(self.own.port()) << 48;
+        peers(document.as_deref(), &instances, self.own, seed, count)
+    }
+
+    async fn exchange(self: Arc<Self>, peer: SocketAddr) {
+        if let Err(error) = self.try_exchange(peer).await {
+            event(
+                Level::Debug,
+                "exchange_failed",
+                &[("peer", &peer), ("reason", &error)],
+            );
+        }
+    }
+
+    async fn try_exchange(&self, peer: SocketAddr) -> Result<(), CallError> {
+        let endpoint = Endpoint::from_shared(format!("http://{peer}"))?
+            .connect_timeout(CALL_TIMEOUT)
+            .timeout(CALL_TIMEOUT);
+        let mut client = DocumentsClient::new(endpoint.connect().await?)
+            .max_decoding_message_size(MAX_MESSAGE_BYTES)
+            .max_encoding_message_size(MAX_MESSAGE_BYTES);
+        let own = self.store.to_in_force();
+        let asked = self.sealer.seal_peer(&wire::peer::InForce::from(&own));
+        let reply = client.exchange(asked).await.map_err(Box::new)?.into_inner();
+        let reply: ExchangeReply = self.sealer.open_peer(&reply)?;
+        if let Some(document) = reply.document {
+            self.offer_to_store(document, peer);
+            return Ok(());
+        }
+        let other = InForce::try_from(&reply.in_force.unwrap_or_default())?;
+        if compare(&self.store.to_in_force(), &other) == Comparison::OwnIsNewer {
+            self.offer_to_peer(&mut client).await?;
+        }
+        Ok(())
+    }
+
+    async fn offer_to_peer(&self, client: &mut DocumentsClient<Channel>) -> Result<(), CallError> {
+        if let Some(document) = self.store.in_force() {
+            let offered = self.sealer.seal_peer(document.to_wire());
+            client.offer(offered).await.map_err(Box::new)?;
+        }
+        Ok(())
+    }
+
+    fn offer_to_store(&self, document: wire::document::Document, source: SocketAddr) {
+        match Document::try_from(document) {
+            Ok(document) => {
+                self.store.offer(&Arc::new(document), &source.to_string());
+            }
+            Err(faults) => {
+                event(
+                    Level::Error,
+                    "document_refused",
+                    &[("fault", &faults), ("peer", &source)],
+                );
+            }
+        }
+    }
+
+    /// The own document, when it is to replace the asker's.
+    fn reply_to(&self, asker: &InForce) -> ExchangeReply {
+        let own = self.store.to_in_force();
+        let newer = compare(&own, asker) == Comparison::OwnIsNewer;
+        let document = self.store.in_force().filter(|_| newer);
+        ExchangeReply {
+            in_force: Some((&own).into()),
+            document: document.map(|document| document.to_wire().clone()),
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Documents for Gossip {
+    async fn exchange(&self, request: Request<Sealed>) -> Result<Response<Sealed>, Status> {
+        let wire: wire::peer::InForce = self.opened(&request)?;
+        let asker =
+            InForce::try_from(&wire).map_err(|e| Status::invalid_argument(e.to_string()))?;
+        Ok(Response::new(self.sealer.seal_peer(&self.reply_to(&asker))))
+    }
+
+    async fn offer(&self, request: Request<Sealed>) -> Result<Response<Sealed>, Status> {
+        let document: wire::document::Document = self.opened(&request)?;
+        let source = request.remote_addr().unwrap_or(self.own);
+        self.offer_to_store(document, source);
+        let own = wire::peer::InForce::from(&self.store.to_in_force());
+        Ok(Response::new(self.sealer.seal_peer(&own)))
+    }
+}
+
+impl Gossip {
+    fn opened<M: prost::Message + Default>(&self, request: &Request<Sealed>) -> Result<M, Status> {
+        let opened = self.sealer.open_peer(request.get_ref());
+        opened.map_err(|error| {
+            metrics::counter!("plantainquay_refused_calls").increment(1);
+            Status::unauthenticated(error.to_string())
+        })
+    }
+}
--- a/crates/plantainquay_net/src/seal.rs
+++ b/crates/plantainquay_net/src/seal.rs
@@ -11,6 +11,7 @@
 
 const KIND_TUNNEL: u8 = 1;
 const KIND_AGENT: u8 = 2;
+const KIND_PEER: u8 = 3;
 const TAG_START: usize = 2;
 const TAG_END: usize = 10;
 const PREFIX_BYTES: usize = 12;
@@ -97,6 +98,21 @@
     ///
     /// Returns why the datagram is refused.
     pub fn open<'a>(&self, datagram: &'a [u8]) -> Result<Opened<'a>, SealError> {
+        match self.verified(datagram)? {
+            (KIND_TUNNEL, header, payload) => {
+                let header = wire::tunnel::TunnelHeader::decode(header)?;
+                Ok(Opened::Tunnel(header.try_into()?, payload))
+            }
+            (KIND_AGENT, header, _) => {
+                let message = wire::peer::AgentMessage::decode(header)?;
+                Ok(Opened::Agent(message.try_into()?))
+            }
+            (kind, ..) => Err(SealError::UnknownKind(kind)),
+        }
+    }
+
+    /// Kind, header and payload of a datagram whose signature is right.
+    fn verified<'a>(&self, datagram: &'a [u8]) -> Result<(u8, &'a [u8], &'a [u8]), SealError> {
         let (prefix, rest) = datagram
             .split_at_checked(PREFIX_BYTES)
             .ok_or(SealError::Truncated)?;
@@ -109,16 +125,29 @@
         let (header, payload) = rest
             .split_at_checked(header_bytes)
             .ok_or(SealError::Truncated)?;
-        match prefix[0] {
-            KIND_TUNNEL => {
-                let header = wire::tunnel::TunnelHeader::decode(header)?;
-                Ok(Opened::Tunnel(header.try_into()?, payload))
-            }
-            KIND_AGENT => {
-                let message = wire::peer::AgentMessage::decode(header)?;
-                Ok(Opened::Agent(message.try_into()?))
-            }
-            kind => Err(SealError::UnknownKind(kind)),
+        Ok((prefix[0], header, payload))
+    }
+
+    /// A signed message of a remote call.
+    pub fn seal_peer(&self, message: &impl Message) -> wire::peer::Sealed {
+        let mut datagram = Vec::new();
+        // The length field is too short for a document, which goes where a packet would.
+        self.seal(KIND_PEER, &(), &message.encode_to_vec(), &mut datagram);
+        wire::peer::Sealed { datagram }
+    }
+
+    /// Checks and decodes a signed message of a remote call.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the message is refused.
+    pub fn open_peer<M: Message + Default>(
+        &self,
+        sealed: &wire::peer::Sealed,
+    ) -> Result<M, SealError> {
+        match self.verified(&sealed.datagram)? {
+            (KIND_PEER, _, payload) => Ok(M::decode(payload)?),
+            (kind, ..) => Err(SealError::UnknownKind(kind)),
         }
     }
 
--- a/crates/plantainquay_schema/src/lib.rs
+++ b/crates/plantainquay_schema/src/lib.rs
@@ -15,6 +15,8 @@
 mod document;
 mod fault;
 mod ids;
+mod in_force;
+mod instances;
 mod name;
 mod settings;
 mod tunnel;
@@ -28,6 +30,8 @@
 };
 pub use fault::{Fault, Faults};
 pub use ids::{FlowId, Generation, Incarnation, ServiceId, UpstreamNumber};
+pub use in_force::InForce;
+pub use instances::{Instance, instances_from};
 pub use name::Name;
 pub use settings::{AgentSettings, Key, KeyId, Platform, Role, Settings};
 pub use tunnel::{Load, TriedUpstreams, TunnelError, TunnelHeader};
--- a/crates/plantainquay_schema/src/settings.rs
+++ b/crates/plantainquay_schema/src/settings.rs
@@ -17,12 +17,10 @@
     pub instance: Name,
     /// Data centre that the instance is in.
     pub data_centre: Name,
-    /// UDP address of the tunnel.
+    /// Address of the tunnel over UDP, and of messages between processes over TCP.
     pub tunnel: SocketAddr,
     /// TCP address of the read-only HTTP endpoint.
     pub http: SocketAddr,
-    /// TCP address for other processes of the system.
-    pub peer: SocketAddr,
     /// UDP address of the fabric.
     pub fabric: SocketAddr,
     /// The platform's services.
@@ -70,7 +68,7 @@
     pub configuration: SocketAddr,
     /// The list of live and leaving instances.
     pub instances: SocketAddr,
-    /// Interval of the slow poll.
+    /// Shortest interval of the slow poll.
     pub poll: Duration,
 }
 
--- a/crates/plantainquay_schema/src/settings/check.rs
+++ b/crates/plantainquay_schema/src/settings/check.rs
@@ -36,7 +36,6 @@
     faults.require(!wire.data_centre.is_empty(), "data_centre", "must be named");
     let tunnel = check_address("tunnel", &wire.tunnel, faults);
     let http = check_address("http", &wire.http, faults);
-    let peer = check_address("peer", &wire.peer, faults);
     let fabric = check_address("fabric", &wire.fabric, faults);
     let platform = check_platform(&wire.platform.clone().unwrap_or_default(), faults);
     let keys = check_keys(&wire.keys, faults);
@@ -55,7 +54,6 @@
         data_centre: wire.data_centre.as_str().into(),
         tunnel: tunnel?,
         http: http?,
-        peer: peer?,
         fabric: fabric?,
         platform: platform?,
         keys,
--- a/crates/plantainquayd/src/daemon.rs
+++ b/crates/plantainquayd/src/daemon.rs
@@ -10,7 +10,8 @@
 use ntex::time::{Millis, sleep};
 use plantainquay_core::Documents;
 use plantainquay_net::{
-    Clock, DocumentStore, HttpState, event, init_metrics, serve_http, watch_configuration,
+    Clock, DocumentStore, Gossip, HttpState, InstanceView, PlatformReader, Sealer, event,
+    init_metrics, serve_http,
 };
 use plantainquay_schema::wire::status::Status;
 use plantainquay_schema::{Role, Settings};
@@ -49,6 +50,9 @@
         refresh_metrics: metrics_source(&role),
         metrics,
     });
+    let instances = Arc::new(InstanceView::default());
+    let reader = PlatformReader::new(&settings, Arc::clone(&store), Arc::clone(&instances), clock);
+    start_gossip(&settings, store, instances, clock, &threads)?;
     let terminated = await_sigterm(&threads)?;
     let system = ntex::rt::System::build()
         .name(settings.instance.as_str())
@@ -57,7 +61,7 @@
     system.block_on(async move {
         let servers = role.serve_requests()?;
         let http = serve_http(settings.http, http).context("http")?;
-        ntex::rt::spawn(watch_configuration(settings.platform.clone(), store));
+        ntex::rt::spawn(reader.run());
         log_start(&settings);
         // A sender that is gone can't tell of a signal any more: leave as well.
         let _told = terminated.await;
@@ -72,6 +76,24 @@
     })
 }
 
+fn start_gossip(
+    settings: &Settings,
+    store: Arc<DocumentStore>,
+    instances: Arc<InstanceView>,
+    clock: Clock,
+    threads: &Runtime,
+) -> Result<(), DaemonError> {
+    let sealer = Sealer::new(&settings.keys).context("keys")?;
+    let gossip = Gossip::new(store, instances, sealer, settings.tunnel, clock);
+    threads.spawn(Arc::clone(&gossip).spread());
+    threads.spawn(async move {
+        if let Err(error) = gossip.serve().await {
+            event(Level::Error, "gossip_ended", &[("reason", &error)]);
+        }
+    });
+    Ok(())
+}
+
 fn init_log(settings: &Settings) -> Result<(), DaemonError> {
     let level = match settings.log_level.as_str() {
         "error" => LevelFilter::Error,
--- a/crates/stand_ins/src/platform.rs
+++ b/crates/stand_ins/src/platform.rs
@@ -120,7 +120,13 @@
         .to_owned();
     let mut rx = value.subscribe();
     let changed = rx.wait_for(|value| value.revision > 0 && value.revision.to_string() != known);
-    let Ok(Ok(value)) = tokio::time::timeout(WATCH_TIMEOUT, changed).await else {
+    let at_once = req.query_string() == "wait=0";
+    let longest = if at_once {
+        Duration::ZERO
+    } else {
+        WATCH_TIMEOUT
+    };
+    let Ok(Ok(value)) = tokio::time::timeout(longest, changed).await else {
         return HttpResponse::build(StatusCode::NOT_MODIFIED).finish();
     };
     HttpResponse::Ok()
--- a/crates/stand_ins/src/process.rs
+++ b/crates/stand_ins/src/process.rs
@@ -1,8 +1,9 @@
 //! Child processes of a test runner.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
 use std::process::{Child, Command};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -113,15 +114,25 @@
 
 /// An address of this machine's loopback that nothing uses for TCP or UDP.
 ///
+/// Its port lies below those that the kernel gives to outgoing connections, so that none of them
+/// takes it before its process starts.
+///
 /// # Errors
 ///
 /// Fails when no port is free.
 pub fn free_address() -> Result<SocketAddr> {
-    const TRIES: usize = 100;
-    for _ in 0..TRIES {
-        let tcp = TcpListener::bind("127.0.0.1:0")?;
-        let address = tcp.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
+    const FIRST: u32 = 10_000;
+    const COUNT: u32 = 22_000;
+    // Each call goes on where the last one ended, so that no address is given out twice.
+    static NEXT: AtomicU32 = AtomicU32::new(u32::MAX);
+    let start = rand::random_range(0..COUNT);
+    let _started = NEXT.compare_exchange(u32::MAX, start, Ordering::Relaxed, Ordering::Relaxed);
+    for _ in 0..COUNT {
+        let offset = NEXT.fetch_add(1, Ordering::Relaxed) % COUNT;
+        let port = u16::try_from(FIRST + offset)?;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let free = TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok();
+        if free {
             return Ok(address);
         }
     }
--- a/examples/demo/cluster.rs
+++ b/examples/demo/cluster.rs
@@ -220,7 +220,7 @@
             Some((_, tunnel)) => *tunnel,
             None => free_address()?,
         };
-        let (http, peer) = (free_address()?, free_address()?);
+        let http = free_address()?;
         let data_centre = self.document.data_centres[0].clone();
         let settings = Settings {
             role: role.to_owned(),
@@ -228,7 +228,6 @@
             data_centre: data_centre.clone(),
             tunnel: tunnel.to_string(),
             http: http.to_string(),
-            peer: peer.to_string(),
             fabric: self.fabric.to_string(),
             platform: Some(Platform {
                 configuration: self.platform.to_string(),
@@ -250,7 +249,6 @@
                 role: role.to_owned(),
                 data_centre,
                 tunnel: tunnel.to_string(),
-                peer: peer.to_string(),
                 state: "live".to_owned(),
             },
             http,
--- a/examples/placement/model.rs
+++ b/examples/placement/model.rs
@@ -25,7 +25,7 @@
 const SWING: Duration = Duration::from_secs(20);
 const CREST: Duration = Duration::from_secs(5);
 const CREST_FACTOR: f64 = 3.0;
-const WARM_UP: Duration = Duration::from_secs(60);
+const WARM_UP: Duration = Duration::from_mins(1);
 /// The first agents have passed their ramp when the model starts.
 const START: Timestamp = Timestamp(20_000_000);
 
