Tell a few siblings when the load has changed by a twentieth

Cause: in a burst, agents compare themselves with reports up to 250 ms old; 200 feeds opened at once in the demo were placed as unevenly as by the hash.

Ruled out: shorter ticks, which cost messages also when nothing changes.

Change: an agent tells three random siblings of its load once the flows opened since the last report are more than a twentieth of all.

--- a/crates/plantainquay_core/src/agent/announce.rs
+++ b/crates/plantainquay_core/src/agent/announce.rs
@@ -11,8 +11,8 @@
 use super::{AgentState, Outbox, ServiceView};
 use crate::Timestamp;
 
-/// Siblings that are asked for their load at each tick.
-const QUERIES_PER_TICK: u64 = 3;
+/// Siblings that are asked for their load at each tick, or told of the own load.
+const SIBLINGS_PER_ROUND: u64 = 3;
 /// Flows in one message; keeps the datagram below common MTUs.
 const FLOWS_PER_MESSAGE: usize = 128;
 /// Time between two rounds of questions for each sibling, which bounds their rate.
@@ -136,19 +136,37 @@
 }
 
 fn queries<T>(state: &AgentState<T>, now: Timestamp, view: &ServiceView) -> Outbox {
+    let message = state.message(AgentMessageBody::Query(state.load(now)));
+    some_siblings(state, now, view, &message)
+}
+
+/// The agent's load for a few siblings, unasked.
+pub(super) fn load_to_some<T>(state: &AgentState<T>, now: Timestamp) -> Outbox {
+    let Some(view) = state.view() else {
+        return Outbox::new();
+    };
+    let message = state.message(AgentMessageBody::Load(state.load(now)));
+    some_siblings(state, now, &view, &message)
+}
+
+/// `message` for a few random siblings.
+fn some_siblings<T>(
+    state: &AgentState<T>,
+    now: Timestamp,
+    view: &ServiceView,
+    message: &AgentMessage,
+) -> Outbox {
     let own = state.config.number;
     let upstreams = view.service().upstreams.iter();
     let siblings: Vec<_> = upstreams.filter(|u| u.number != own).collect();
-    let mut outbox = Outbox::new();
-    for i in 0..QUERIES_PER_TICK.min(siblings.len() as u64) {
-        let hash = xxh3_64_with_seed(&now.0.to_le_bytes(), state.config.incarnation.0);
-        // Consecutive indices after a random start never name a sibling twice.
-        let index = (hash >> 32).wrapping_add(i) % siblings.len() as u64;
-        let sibling = siblings[usize::try_from(index).unwrap_or(0)];
-        let body = AgentMessageBody::Query(state.load(now));
-        outbox.push((sibling.agent, state.message(body)));
-    }
-    outbox
+    let hash = xxh3_64_with_seed(&now.0.to_le_bytes(), state.config.incarnation.0);
+    let count = SIBLINGS_PER_ROUND.min(siblings.len() as u64);
+    // Consecutive indices after a random start never name a sibling twice.
+    let indices = (0..count).map(|i| (hash >> 32).wrapping_add(i) % siblings.len() as u64);
+    let chosen = indices.map(|i| siblings[usize::try_from(i).unwrap_or(0)]);
+    chosen
+        .map(|sibling| (sibling.agent, message.clone()))
+        .collect()
 }
 
 /// The agent's load for every sibling that takes new flows.
--- a/crates/plantainquay_core/src/agent/state.rs
+++ b/crates/plantainquay_core/src/agent/state.rs
@@ -19,6 +19,8 @@
 const RAMP: Duration = Duration::from_secs(10);
 /// Share at which the ramp starts, in percent.
 const RAMP_START_PERCENT: u64 = 10;
+/// Flows opened since the last report that make a new one due, as a divisor of all open flows.
+const REPORT_DIVISOR: u32 = 20;
 /// A longer time between two ticks means that the process was paused.
 const PAUSE: Duration = Duration::from_secs(2);
 
@@ -56,6 +58,8 @@
     newest_heard: AtomicU64,
     last_tick: AtomicU64,
     last_question: AtomicU64,
+    /// Flows opened since siblings last heard of the load.
+    opened_since_report: AtomicU32,
 }
 
 impl<T> AgentState<T> {
@@ -81,6 +85,7 @@
             newest_heard: AtomicU64::new(0),
             last_tick: AtomicU64::new(now.0),
             last_question: AtomicU64::new(now.0),
+            opened_since_report: AtomicU32::new(0),
         }
     }
 
@@ -141,8 +146,15 @@
     }
 
     /// Holds a flow that [`super::on_packet`] said to open; returns the news for the bucket's
-    /// owner.
-    pub fn open(&self, shard: &mut Shard<T>, tuple: FiveTuple, echoes: bool, payload: T) -> Outbox {
+    /// owner and for siblings.
+    pub fn open(
+        &self,
+        shard: &mut Shard<T>,
+        now: Timestamp,
+        tuple: FiveTuple,
+        echoes: bool,
+        payload: T,
+    ) -> Outbox {
         let held = HeldFlow {
             tuple,
             echoes,
@@ -151,9 +163,23 @@
             payload,
         };
         shard.insert(tuple.flow_id(), held);
-        self.open_flows.fetch_add(1, Ordering::Relaxed);
+        let open_flows = self.open_flows.fetch_add(1, Ordering::Relaxed) + 1;
         let body = AgentMessageBody::Held(vec![tuple.flow_id()]);
-        announce::to_owner(self, tuple.flow_id(), echoes, body)
+        let mut news = announce::to_owner(self, tuple.flow_id(), echoes, body);
+        if self.is_report_due(open_flows) {
+            news.extend(announce::load_to_some(self, now));
+        }
+        news
+    }
+
+    /// Whether the load has changed by so much that siblings should hear of it before they ask.
+    fn is_report_due(&self, open_flows: u32) -> bool {
+        let opened = self.opened_since_report.fetch_add(1, Ordering::Relaxed) + 1;
+        let due = opened > open_flows / REPORT_DIVISOR;
+        if due {
+            self.opened_since_report.store(0, Ordering::Relaxed);
+        }
+        due
     }
 
     /// Notes that both ends of a flow have closed; it is kept for late packets only.
--- a/crates/plantainquay_core/tests/agent.rs
+++ b/crates/plantainquay_core/tests/agent.rs
@@ -194,7 +194,7 @@
         .as_str()
         {
             "Open" => {
-                state.open(&mut shard, segment.tuple, false, ());
+                state.open(&mut shard, now, segment.tuple, false, ());
             }
             "Drop(HalfOpenFull)" => dropped += 1,
             other => panic!("{other}"),
@@ -253,7 +253,7 @@
     for port in 30_001..=30_003 {
         let tuple = tuple(port);
         let mut shard = state.shard(tuple.flow_id());
-        state.open(&mut shard, tuple, false, ());
+        state.open(&mut shard, start, tuple, false, ());
         shard.mark_established(tuple.flow_id());
     }
     hear(&state, start, 2, AgentMessageBody::Load(load(0, true)));
--- a/crates/plantainquay_net/src/agent/flows.rs
+++ b/crates/plantainquay_net/src/agent/flows.rs
@@ -52,7 +52,7 @@
         };
         let news = self
             .state
-            .open(&mut shard, tuple, segment.has_timestamp, endpoint);
+            .open(&mut shard, now, tuple, segment.has_timestamp, endpoint);
         self.send_outbox(news);
         self.deliver(shard, now, flow, packet);
     }
--- a/crates/plantainquay_trace/src/world.rs
+++ b/crates/plantainquay_trace/src/world.rs
@@ -426,7 +426,7 @@
         let verdict = (self.policy.on_packet)(state, &mut shard, now, header, segment);
         let mut news = Outbox::new();
         if verdict == Verdict::Open {
-            news = state.open(&mut shard, segment.tuple, segment.has_timestamp, ());
+            news = state.open(&mut shard, now, segment.tuple, segment.has_timestamp, ());
             shard.mark_established(segment.tuple.flow_id());
         }
         drop(shard);
--- a/examples/placement/model.rs
+++ b/examples/placement/model.rs
@@ -233,7 +233,7 @@
         let mut shard = state.shard(flow);
         match on_packet(state, &mut shard, self.now, header, segment) {
             Verdict::Open => {
-                let news = state.open(&mut shard, segment.tuple, true, ());
+                let news = state.open(&mut shard, self.now, segment.tuple, true, ());
                 shard.mark_established(flow);
                 drop(shard);
                 self.opened += 1;
