Faults on separate processes as tests

Cause: kills, freezes and an outage of the platform were driven on traces only.

Change: the demo's cluster moved into stand_ins, so that tests use it too. Five tests on real processes and real TCP: a balancer killed by SIGKILL, a balancer and an agent frozen by SIGSTOP over a change, the platform answering with errors, an agent asked to leave. Each waits for ticks and states, never for a time.

--- a/examples/demo/cluster.rs
+++ b/crates/stand_ins/src/cluster.rs
@@ -1,4 +1,4 @@
-//! The processes of one run.
+//! The processes of one run: the platform, upstreams, the fabric and the system itself.
 
 use std::fmt::Write as _;
 use std::net::SocketAddr;
@@ -14,9 +14,8 @@
 };
 use plantainquay_schema::wire::status::Status;
 use serde::Serialize;
-use stand_ins::{ChildProcess, free_address, http_get, http_put};
 
-use crate::options::Options;
+use crate::{ChildProcess, free_address, http_get, http_put};
 
 const TICK_MS: u64 = 100;
 const BOOKING_MS: u64 = 10;
@@ -24,42 +23,76 @@
 const POLL: Duration = Duration::from_millis(5);
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// What a run consists of.
+#[derive(Clone, Debug)]
+pub struct ClusterConfig {
+    /// The operators' document; its addresses are replaced by this machine's.
+    pub document: PathBuf,
+    /// Balancers at the start.
+    pub balancers: usize,
+    /// Seed of the fabric's choices.
+    pub seed: u64,
+    /// Program that runs one process, as [`crate::run_process`] does.
+    pub program: PathBuf,
+}
+
 /// One daemon of the system.
-pub(crate) struct Daemon {
-    pub(crate) instance: Instance,
-    pub(crate) http: SocketAddr,
-    pub(crate) process: ChildProcess,
+#[derive(Debug)]
+pub struct Daemon {
+    /// How the platform's list names it.
+    pub instance: Instance,
+    /// Its HTTP endpoint.
+    pub http: SocketAddr,
+    /// Its process.
+    pub process: ChildProcess,
 }
 
 /// One listener of a service, as callers reach it.
 #[derive(Clone, Debug)]
-pub(crate) struct Entrance {
-    pub(crate) service: String,
-    pub(crate) mode: String,
-    pub(crate) address: SocketAddr,
+pub struct Entrance {
+    /// The service's name.
+    pub service: String,
+    /// `flow` or `request`.
+    pub mode: String,
+    /// Where callers connect.
+    pub address: SocketAddr,
 }
 
 /// Every process of one run.
-pub(crate) struct Cluster {
-    pub(crate) document: Document,
-    pub(crate) balancers: Vec<Daemon>,
-    pub(crate) agents: Vec<Daemon>,
-    pub(crate) entrances: Vec<Entrance>,
+#[derive(Debug)]
+pub struct Cluster {
+    /// The document as it will be published next.
+    pub document: Document,
+    /// Running balancers.
+    pub balancers: Vec<Daemon>,
+    /// Running agents, in the order of the document's facts.
+    pub agents: Vec<Daemon>,
+    /// Listeners of all services.
+    pub entrances: Vec<Entrance>,
     upstreams: Vec<SocketAddr>,
     platform: SocketAddr,
     fabric: SocketAddr,
     folder: PathBuf,
     next_balancer: usize,
+    program: PathBuf,
     others: Vec<ChildProcess>,
 }
 
 impl Cluster {
     /// Starts everything and waits until it is ready.
-    pub(crate) async fn start(options: &Options) -> Result<Self> {
-        let text = std::fs::read_to_string(&options.document)
-            .with_context(|| options.document.display().to_string())?;
+    ///
+    /// # Errors
+    ///
+    /// Fails when the document is faulty or a process doesn't come to be ready.
+    pub async fn start(config: &ClusterConfig) -> Result<Self> {
+        let text = std::fs::read_to_string(&config.document)
+            .with_context(|| config.document.display().to_string())?;
         let checked = plantainquay_schema::Document::from_yaml(&text)?;
-        let folder = std::env::temp_dir().join(format!("plantainquay-demo-{}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!(
+            "plantainquay-{}-{}",
+            std::process::id(),
+            free_address()?.port()
+        ));
         std::fs::create_dir_all(&folder)?;
         let mut cluster = Self {
             document: checked.to_wire().clone(),
@@ -71,29 +104,38 @@
             fabric: free_address()?,
             folder,
             next_balancer: 1,
+            program: config.program.clone(),
             others: Vec::new(),
         };
         cluster.start_platform().await?;
         cluster.start_upstreams().await?;
         cluster.publish().await?;
         cluster.start_agents()?;
-        for _ in 0..options.balancers {
+        for _ in 0..config.balancers {
             cluster.start_balancer()?;
         }
         cluster.wait_ready().await?;
         cluster.publish_instances().await?;
-        cluster.start_fabric(options.seed).await?;
+        cluster.start_fabric(config.seed).await?;
         Ok(cluster)
     }
 
     /// Publishes the document as it stands.
-    pub(crate) async fn publish(&self) -> Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process can't be started or reached.
+    pub async fn publish(&self) -> Result<()> {
         let text = serde_saphyr::to_string(&self.document)?;
         http_put(self.platform, "/v1/document", &text).await
     }
 
     /// Publishes the document and returns the time until it is in force on every balancer.
-    pub(crate) async fn publish_and_wait(&self) -> Result<Duration> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process can't be started or reached.
+    pub async fn publish_and_wait(&self) -> Result<Duration> {
         let start = Instant::now();
         self.publish().await?;
         for daemon in self.balancers.iter().chain(&self.agents) {
@@ -103,8 +145,38 @@
         Ok(start.elapsed())
     }
 
+    /// Changes an upstream's state in the next generation of the document.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the document has no such fact.
+    pub fn set_state(&mut self, index: usize, state: &str) -> Result<()> {
+        let facts = self
+            .document
+            .facts
+            .as_mut()
+            .context("a document without facts")?;
+        let fact = facts.upstreams.get_mut(index).context("no such upstream")?;
+        state.clone_into(&mut fact.state);
+        self.document.generation += 1;
+        Ok(())
+    }
+
+    /// Lets the platform answer with errors from now on, or answer again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform can't be reached.
+    pub async fn set_platform_down(&self, down: bool) -> Result<()> {
+        http_put(self.platform, "/v1/down", &down.to_string()).await
+    }
+
     /// Publishes which instances are live or leaving.
-    pub(crate) async fn publish_instances(&self) -> Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process can't be started or reached.
+    pub async fn publish_instances(&self) -> Result<()> {
         let daemons = self.balancers.iter().chain(&self.agents);
         let list = InstanceList {
             instances: daemons.map(|daemon| daemon.instance.clone()).collect(),
@@ -118,7 +190,11 @@
     }
 
     /// Starts a balancer; the fabric uses it once the list of instances names it.
-    pub(crate) fn start_balancer(&mut self) -> Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process can't be started or reached.
+    pub fn start_balancer(&mut self) -> Result<()> {
         let name = format!("balancer-{}", self.next_balancer);
         self.next_balancer += 1;
         let daemon = self.start_daemon(&name, "balancer", None)?;
@@ -127,7 +203,11 @@
     }
 
     /// Waits until every daemon is ready.
-    pub(crate) async fn wait_ready(&self) -> Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process can't be started or reached.
+    pub async fn wait_ready(&self) -> Result<()> {
         for daemon in self.balancers.iter().chain(&self.agents) {
             wait_status(daemon, |status| status.generation > 0).await?;
         }
@@ -135,7 +215,11 @@
     }
 
     /// What each upstream has seen.
-    pub(crate) async fn ledgers(&self) -> Result<Vec<Ledger>> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process can't be started or reached.
+    pub async fn ledgers(&self) -> Result<Vec<Ledger>> {
         let mut ledgers = Vec::with_capacity(self.upstreams.len());
         for upstream in &self.upstreams {
             let (_, body) = http_get(*upstream, "/ledger").await?;
@@ -145,7 +229,8 @@
     }
 
     /// The folder with the processes' logs and settings.
-    pub(crate) fn folder(&self) -> &Path {
+    #[must_use]
+    pub fn folder(&self) -> &Path {
         &self.folder
     }
 
@@ -301,7 +386,7 @@
         write!(log, "{name}.log")?;
         let file = file.to_str().context("temporary folder is not UTF-8")?;
         let args = ["--process", kind, "--file", file];
-        ChildProcess::start(name, &args, &self.folder.join(log))
+        ChildProcess::start(name, &self.program, &args, &self.folder.join(log))
     }
 
     fn write_yaml(&self, name: &str, value: &impl Serialize) -> Result<PathBuf> {
@@ -312,12 +397,21 @@
 }
 
 /// The state that a daemon reports.
-pub(crate) async fn fetch_status(http: SocketAddr) -> Result<Status> {
+///
+/// # Errors
+///
+/// Fails when the daemon doesn't answer.
+pub async fn fetch_status(http: SocketAddr) -> Result<Status> {
     let (_, body) = http_get(http, "/v1/status").await?;
     Ok(serde_json::from_slice(&body)?)
 }
 
-async fn wait_status(daemon: &Daemon, good: impl Fn(&Status) -> bool) -> Result<()> {
+/// Waits until a daemon reports a state that is `good`.
+///
+/// # Errors
+///
+/// Fails when it doesn't come to it in good time.
+pub async fn wait_status(daemon: &Daemon, good: impl Fn(&Status) -> bool) -> Result<()> {
     let start = Instant::now();
     while start.elapsed() < START_TIMEOUT {
         if fetch_status(daemon.http)
@@ -355,3 +449,12 @@
     }
     bail!("{address} takes no connection")
 }
+
+impl Drop for Cluster {
+    /// Removes the logs of a run that went well; those of a failed one stay.
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            let _removed = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
--- a/crates/stand_ins/src/lib.rs
+++ b/crates/stand_ins/src/lib.rs
@@ -3,13 +3,17 @@
 //! They serve tests and examples only. Each `run_*` function is the whole of one process.
 
 mod caller;
+mod cluster;
 mod fabric;
 mod platform;
 mod process;
+mod run;
 mod upstream;
 
 pub use caller::{BookingResult, Caller, FeedReport, http_get, http_put};
+pub use cluster::{Cluster, ClusterConfig, Daemon, Entrance, fetch_status, wait_status};
 pub use fabric::run_fabric;
 pub use platform::run_platform;
 pub use process::{ChildProcess, free_address};
+pub use run::run_process;
 pub use upstream::{file_bytes, run_upstream};
--- a/crates/stand_ins/src/process.rs
+++ b/crates/stand_ins/src/process.rs
@@ -17,14 +17,14 @@
 }
 
 impl ChildProcess {
-    /// Starts this very program again with `args`, its log in `log`.
+    /// Starts `program` with `args`, its log in `log`.
     ///
     /// # Errors
     ///
     /// Fails when the process can't be started.
-    pub fn start(name: &str, args: &[&str], log: &Path) -> Result<Self> {
+    pub fn start(name: &str, program: &Path, args: &[&str], log: &Path) -> Result<Self> {
         let log = std::fs::File::create(log).context("log file")?;
-        let child = Command::new(std::env::current_exe()?)
+        let child = Command::new(program)
             .args(args)
             .stdout(log.try_clone()?)
             .stderr(log)
--- /dev/null
+++ b/crates/stand_ins/src/run.rs
@@ -0,0 +1,28 @@
+//! One process of a run, by its kind.
+
+use std::path::Path;
+
+use anyhow::{Context, Result, bail};
+use serde::de::DeserializeOwned;
+
+use crate::{run_fabric, run_platform, run_upstream};
+
+/// Runs the process `kind` with the settings in `file`, until it ends.
+///
+/// # Errors
+///
+/// Fails when the settings can't be used or the process can't start.
+pub fn run_process(kind: &str, file: &Path) -> Result<()> {
+    match kind {
+        "daemon" => plantainquayd::run(plantainquayd::load_settings(file)?),
+        "platform" => run_platform(std::fs::read_to_string(file)?.trim().parse()?),
+        "fabric" => run_fabric(&from_yaml(file)?),
+        "upstream" => run_upstream(from_yaml(file)?),
+        _ => bail!("no process `{kind}`"),
+    }
+}
+
+fn from_yaml<T: DeserializeOwned>(file: &Path) -> Result<T> {
+    let text = std::fs::read_to_string(file)?;
+    serde_saphyr::from_str(&text).with_context(|| file.display().to_string())
+}
--- /dev/null
+++ b/crates/stand_ins/tests/process_faults.rs
@@ -0,0 +1,216 @@
+//! Faults on separate processes: what callers see of them is nothing.
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use stand_ins::{BookingResult, Caller, Cluster, ClusterConfig, wait_status};
+use tokio::task::JoinSet;
+
+const FEEDS: usize = 24;
+const SEED: u64 = 5;
+const POLL: Duration = Duration::from_millis(20);
+
+/// Feeds that are followed until they are told to stop.
+struct Feeds {
+    tasks: JoinSet<anyhow::Result<()>>,
+    ticks: Vec<Arc<AtomicU64>>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Feeds {
+    /// Opens feeds and waits until each of them ticks.
+    async fn open(cluster: &Cluster) -> Self {
+        let mut feeds = Self {
+            tasks: JoinSet::new(),
+            ticks: Vec::new(),
+            stop: Arc::default(),
+        };
+        for _ in 0..FEEDS {
+            let caller = caller(cluster, "flow");
+            let ticks: Arc<AtomicU64> = Arc::default();
+            let (seen, stop) = (Arc::clone(&ticks), Arc::clone(&feeds.stop));
+            feeds.ticks.push(ticks);
+            feeds.tasks.spawn(async move {
+                let follow = caller.follow_feed(|report| {
+                    seen.store(report.ticks, Ordering::Relaxed);
+                    !stop.load(Ordering::Relaxed)
+                });
+                follow.await
+            });
+        }
+        feeds.wait_ticks(2).await;
+        feeds
+    }
+
+    /// Waits until each feed has ticked `more` times from now on; a feed that ends fails the test.
+    async fn wait_ticks(&mut self, more: u64) {
+        let now = |ticks: &Arc<AtomicU64>| ticks.load(Ordering::Relaxed);
+        let wanted: Vec<u64> = self.ticks.iter().map(|ticks| now(ticks) + more).collect();
+        while self
+            .ticks
+            .iter()
+            .zip(&wanted)
+            .any(|(ticks, wanted)| now(ticks) < *wanted)
+        {
+            if let Some(ended) = self.tasks.try_join_next() {
+                panic!("a feed ended: {ended:?}");
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    async fn finish(mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        while let Some(ended) = self.tasks.join_next().await {
+            ended.expect("the task lives").expect("the feed was whole");
+        }
+    }
+}
+
+fn caller(cluster: &Cluster, mode: &str) -> Caller {
+    let entrance = cluster.entrances.iter().find(|e| e.mode == mode);
+    let entrance = entrance.expect("the document has such a listener");
+    Caller {
+        source: IpAddr::V4(Ipv4Addr::new(127, 0, 1, 1)),
+        target: entrance.address,
+        service: entrance.service.clone(),
+    }
+}
+
+async fn start(balancers: usize) -> Cluster {
+    let config = ClusterConfig {
+        document: Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/documents/small.yaml"),
+        balancers,
+        seed: SEED,
+        program: PathBuf::from(env!("CARGO_BIN_EXE_stand_in")),
+    };
+    Cluster::start(&config).await.expect("the processes start")
+}
+
+/// SIGKILL: packets to the dead balancer are lost until the list of instances catches up.
+#[tokio::test(flavor = "multi_thread")]
+async fn feeds_outlive_a_killed_balancer() {
+    let mut cluster = start(3).await;
+    let mut feeds = Feeds::open(&cluster).await;
+    let mut dead = cluster.balancers.remove(0);
+    dead.process.kill().expect("the balancer is killed");
+    feeds.wait_ticks(3).await;
+    cluster
+        .publish_instances()
+        .await
+        .expect("the platform answers");
+    feeds.wait_ticks(3).await;
+    feeds.finish().await;
+}
+
+/// SIGSTOP and SIGCONT: a document moves buckets while an agent stands still.
+#[tokio::test(flavor = "multi_thread")]
+async fn feeds_outlive_a_frozen_agent() {
+    let mut cluster = start(2).await;
+    let mut feeds = Feeds::open(&cluster).await;
+    cluster.agents[0]
+        .process
+        .freeze()
+        .expect("the agent freezes");
+    cluster
+        .set_state(1, "draining")
+        .expect("there is a second upstream");
+    cluster.publish().await.expect("the platform answers");
+    let generation = cluster.document.generation;
+    for daemon in cluster.balancers.iter().chain(&cluster.agents[1..]) {
+        let in_force = wait_status(daemon, |status| status.generation >= generation).await;
+        in_force.expect("the document comes into force");
+    }
+    cluster.agents[0].process.thaw().expect("the agent goes on");
+    let late = wait_status(&cluster.agents[0], |status| status.generation >= generation).await;
+    late.expect("the late agent learns the document");
+    feeds.wait_ticks(3).await;
+    feeds.finish().await;
+}
+
+/// A frozen balancer swallows a part of every flow's packets.
+#[tokio::test(flavor = "multi_thread")]
+async fn feeds_outlive_a_frozen_balancer() {
+    let cluster = start(3).await;
+    let mut feeds = Feeds::open(&cluster).await;
+    cluster.balancers[1]
+        .process
+        .freeze()
+        .expect("the balancer freezes");
+    feeds.wait_ticks(3).await;
+    cluster.balancers[1]
+        .process
+        .thaw()
+        .expect("the balancer goes on");
+    feeds.wait_ticks(3).await;
+    feeds.finish().await;
+}
+
+/// Platform down: what is in force stays so, new flows open, and the next document comes later.
+#[tokio::test(flavor = "multi_thread")]
+async fn everything_goes_on_while_the_platform_is_down() {
+    let mut cluster = start(2).await;
+    let mut feeds = Feeds::open(&cluster).await;
+    cluster
+        .set_platform_down(true)
+        .await
+        .expect("the platform answers");
+    feeds.wait_ticks(3).await;
+    let more = Feeds::open(&cluster).await;
+    let booking = caller(&cluster, "request").book("while-down").await;
+    assert_eq!(booking.expect("an answer"), BookingResult::Confirmed);
+    cluster
+        .set_state(0, "draining")
+        .expect("there is an upstream");
+    cluster.publish().await.expect("the platform answers");
+    cluster
+        .set_platform_down(false)
+        .await
+        .expect("the platform answers");
+    let generation = cluster.document.generation;
+    for daemon in cluster.balancers.iter().chain(&cluster.agents) {
+        let in_force = wait_status(daemon, |status| status.generation >= generation).await;
+        in_force.expect("the document comes into force");
+    }
+    feeds.wait_ticks(3).await;
+    feeds.finish().await;
+    more.finish().await;
+}
+
+/// SIGTERM on an agent: open feeds stay until they end, new ones go elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_that_is_asked_to_leave_finishes_its_feeds() {
+    let mut cluster = start(2).await;
+    let mut feeds = Feeds::open(&cluster).await;
+    cluster.agents[0]
+        .process
+        .terminate()
+        .expect("the agent is asked");
+    let leaving = wait_status(&cluster.agents[0], |status| status.leaving).await;
+    leaving.expect("the agent says that it leaves");
+    let held = stand_ins::fetch_status(cluster.agents[0].http)
+        .await
+        .expect("it answers");
+    let mut more = Feeds::open(&cluster).await;
+    feeds.wait_ticks(3).await;
+    more.wait_ticks(3).await;
+    let after = stand_ins::fetch_status(cluster.agents[0].http)
+        .await
+        .expect("it answers");
+    assert!(
+        after.open_flows <= held.open_flows,
+        "a leaving agent took a new flow"
+    );
+    feeds.finish().await;
+    more.finish().await;
+    let ended = cluster.agents[0]
+        .process
+        .wait_ended(Duration::from_mins(1));
+    assert!(
+        ended.expect("the process can be waited for"),
+        "it ends once it is idle"
+    );
+}
--- a/examples/demo/load.rs
+++ b/examples/demo/load.rs
@@ -7,11 +7,9 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use stand_ins::{BookingResult, Caller};
+use stand_ins::{BookingResult, Caller, Entrance};
 use tokio::task::JoinSet;
 
-use crate::cluster::Entrance;
-
 /// Time between two bookings, or two downloads, of one entrance.
 const BOOKING_INTERVAL: Duration = Duration::from_millis(20);
 const DOWNLOAD_INTERVAL: Duration = Duration::from_millis(100);
--- a/examples/demo/scenario.rs
+++ b/examples/demo/scenario.rs
@@ -4,9 +4,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use anyhow::{Context, Result};
+use anyhow::Result;
+use stand_ins::{Cluster, ClusterConfig};
 
-use crate::cluster::Cluster;
 use crate::load::{Counts, Load};
 use crate::options::Options;
 use crate::summary::{Summary, imbalance};
@@ -17,7 +17,13 @@
 /// Runs the demo.
 pub(crate) async fn run(options: &Options) -> Result<Summary> {
     println!("starting processes");
-    let mut cluster = Cluster::start(options).await?;
+    let config = ClusterConfig {
+        document: options.document.clone(),
+        balancers: options.balancers,
+        seed: options.seed,
+        program: std::env::current_exe()?,
+    };
+    let mut cluster = Cluster::start(&config).await?;
     println!("logs in {}", cluster.folder().display());
     let load = Load::start(&cluster.entrances, options.flows);
     load.wait_feeds(options.flows).await;
@@ -68,14 +74,14 @@
 }
 
 async fn drain_upstream(cluster: &mut Cluster) -> Result<Duration> {
-    set_state(cluster, 0, "draining")?;
+    cluster.set_state(0, "draining")?;
     let took = cluster.publish_and_wait().await?;
     println!("an upstream drains, in force after {} ms", took.as_millis());
     Ok(took)
 }
 
 async fn serve_again(cluster: &mut Cluster) -> Result<Duration> {
-    set_state(cluster, 0, "serving")?;
+    cluster.set_state(0, "serving")?;
     let took = cluster.publish_and_wait().await?;
     println!("it serves again, in force after {} ms", took.as_millis());
     Ok(took)
@@ -96,10 +102,10 @@
     for change in 0..changes {
         timer.tick().await;
         if let Some(index) = draining.take() {
-            set_state(cluster, index, "serving")?;
+            cluster.set_state(index, "serving")?;
         } else {
             let index = usize::try_from(change / 2).unwrap_or(0) % upstreams;
-            set_state(cluster, index, "draining")?;
+            cluster.set_state(index, "draining")?;
             draining = Some(index);
         }
         cluster.publish().await?;
@@ -107,17 +113,6 @@
     cluster.publish_and_wait().await
 }
 
-fn set_state(cluster: &mut Cluster, index: usize, state: &str) -> Result<()> {
-    let facts = cluster
-        .document
-        .facts
-        .as_mut()
-        .context("a document without facts")?;
-    state.clone_into(&mut facts.upstreams[index].state);
-    cluster.document.generation += 1;
-    Ok(())
-}
-
 async fn summarise(
     cluster: &Cluster,
     counts: &Counts,
