End flows whose handshake is reset

Cause: a listening smoltcp socket that is reset during its handshake goes back to listening. The flow's entry stayed for ever, counted as open and half-open: a caller that resets its handshakes would have filled the agent's bound.

The list of held flows then showed the state Listen.

Change: an endpoint that listens again is over.

--- /dev/null
+++ b/crates/plantainquay_core/src/limits/usage.rs
@@ -0,0 +1,144 @@
+//! What is in use of an agent's shares.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use plantainquay_schema::{Name, Resource, UpstreamNumber};
+use thiserror::Error;
+
+use super::{LimitKey, ShareLedger};
+use crate::Timestamp;
+
+/// Span in which starts are counted against a rate.
+const RATE_SPAN: Duration = Duration::from_secs(1);
+
+/// The agent's share of a limit is in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("limit_reached")]
+pub struct LimitReached;
+
+/// An agent's shares and what is in use of them.
+#[derive(Debug)]
+pub struct Limits {
+    /// The agent's shares.
+    pub ledger: ShareLedger,
+    in_use: HashMap<LimitKey, u64>,
+    starts: HashMap<LimitKey, VecDeque<Timestamp>>,
+}
+
+impl Limits {
+    /// Limits of an agent that has no document yet.
+    #[must_use]
+    pub fn new(own: UpstreamNumber) -> Self {
+        Self {
+            ledger: ShareLedger::new(own),
+            in_use: HashMap::new(),
+            starts: HashMap::new(),
+        }
+    }
+
+    /// Whether one more flow of `member` may open.
+    #[must_use]
+    pub fn has_room_for_flow(&self, member: &Name) -> bool {
+        self.has_room(&flow_key(member))
+    }
+
+    /// Counts one more flow of `member`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the share is in use; nothing is counted then.
+    pub fn open_flow(&mut self, member: &Name) -> Result<(), LimitReached> {
+        self.take(flow_key(member))
+    }
+
+    /// Counts one flow of `member` less.
+    pub fn close_flow(&mut self, member: &Name) {
+        self.give_back(&flow_key(member));
+    }
+
+    /// Counts one more request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a share is in use; nothing is counted then.
+    pub fn start_request(
+        &mut self,
+        now: Timestamp,
+        member: &Name,
+        class: &Name,
+    ) -> Result<(), LimitReached> {
+        let rate = request_key(member, class, Resource::RequestsPerSecond);
+        if !self.has_rate(now, &rate) {
+            return Err(LimitReached);
+        }
+        self.take(request_key(member, class, Resource::ConcurrentRequests))?;
+        if self.ledger.allowed(&rate).is_some() {
+            self.starts.entry(rate).or_default().push_back(now);
+        }
+        Ok(())
+    }
+
+    /// Counts one running request less.
+    pub fn finish_request(&mut self, member: &Name, class: &Name) {
+        self.give_back(&request_key(member, class, Resource::ConcurrentRequests));
+    }
+
+    /// What is in use of `key`.
+    #[must_use]
+    pub fn in_use(&self, key: &LimitKey) -> u64 {
+        self.in_use.get(key).copied().unwrap_or(0)
+    }
+
+    fn has_room(&self, key: &LimitKey) -> bool {
+        let allowed = self.ledger.allowed(key);
+        allowed.is_none_or(|allowed| self.in_use(key) < allowed)
+    }
+
+    fn take(&mut self, key: LimitKey) -> Result<(), LimitReached> {
+        if !self.has_room(&key) {
+            return Err(LimitReached);
+        }
+        // Counted without a limit too, since the next document may set one.
+        *self.in_use.entry(key).or_default() += 1;
+        Ok(())
+    }
+
+    fn give_back(&mut self, key: &LimitKey) {
+        if let Some(in_use) = self.in_use.get_mut(key) {
+            *in_use = in_use.saturating_sub(1);
+        }
+    }
+
+    fn has_rate(&mut self, now: Timestamp, key: &LimitKey) -> bool {
+        let Some(allowed) = self.ledger.allowed(key) else {
+            return true;
+        };
+        let Some(starts) = self.starts.get_mut(key) else {
+            return allowed > 0;
+        };
+        while starts
+            .front()
+            .is_some_and(|start| now.since(*start) >= RATE_SPAN)
+        {
+            starts.pop_front();
+        }
+        (starts.len() as u64) < allowed
+    }
+}
+
+fn flow_key(member: &Name) -> LimitKey {
+    LimitKey {
+        member: member.clone(),
+        class: None,
+        resource: Resource::OpenFlows,
+    }
+}
+
+fn request_key(member: &Name, class: &Name, resource: Resource) -> LimitKey {
+    LimitKey {
+        member: member.clone(),
+        class: Some(class.clone()),
+        resource,
+    }
+}
--- a/crates/plantainquay_net/src/tcp_endpoint.rs
+++ b/crates/plantainquay_net/src/tcp_endpoint.rs
@@ -173,8 +173,10 @@
     }
 
     /// Whether the flow is over.
+    ///
+    /// A socket whose handshake is reset goes back to listening; its one flow is over all the same.
     pub fn is_closed(&mut self) -> bool {
-        self.socket().state() == State::Closed
+        matches!(self.socket().state(), State::Closed | State::Listen)
     }
 
     fn socket(&mut self) -> &mut tcp::Socket<'static> {
--- a/crates/plantainquay_net/tests/endpoint.rs
+++ b/crates/plantainquay_net/tests/endpoint.rs
@@ -118,6 +118,26 @@
     assert_eq!(pair.caller.recv(&mut buf), Received::Reset);
 }
 
+/// Such an endpoint once went back to listening and was held for ever.
+#[test]
+fn flow_that_is_reset_during_its_handshake_is_over() {
+    let mut pair = Pair::new(true, false);
+    let opening = pair
+        .caller
+        .poll(pair.now)
+        .pop()
+        .expect("an opening segment");
+    let answer = pair
+        .agent
+        .deliver(pair.now, &opening)
+        .pop()
+        .expect("an answer");
+    assert!(!pair.agent.is_closed() && !pair.agent.is_established());
+    let reset = reset_for(&answer).expect("a TCP segment");
+    pair.agent.deliver(pair.now, &reset);
+    assert!(pair.agent.is_closed());
+}
+
 proptest! {
     #![proptest_config(Config {
         cases: 40,
--- a/crates/stand_ins/src/fabric/flows.rs
+++ b/crates/stand_ins/src/fabric/flows.rs
@@ -8,7 +8,7 @@
 use anyhow::Result;
 use parking_lot::Mutex;
 use plantainquay_core::{FiveTuple, Timestamp};
-use plantainquay_net::{Clock, FlowEnd, Packets, TcpEndpoint, parse_segment, pump};
+use plantainquay_net::{Clock, FlowEnd, Packets, TcpEndpoint, parse_segment, pump, reset_for};
 use plantainquay_schema::FlowId;
 use plantainquay_schema::wire::stand_in::FabricSettings;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -70,7 +70,10 @@
             };
             let now = self.clock.now();
             let flow = caller_side.flow_id();
-            self.drive(now, flow, true, |endpoint| endpoint.deliver(now, packet));
+            let known = self.drive(now, flow, true, |endpoint| endpoint.deliver(now, packet));
+            if known.is_none() && !segment.reset {
+                self.refuse(packet);
+            }
         }
     }
 
@@ -172,6 +175,13 @@
         Some(())
     }
 
+    /// Answers a packet of no flow as a caller's own TCP would.
+    fn refuse(&self, packet: &[u8]) {
+        if let Ok(reset) = reset_for(packet) {
+            self.spray(&reset);
+        }
+    }
+
     /// Sends a packet to a random balancer; with none, it is lost.
     fn spray(&self, packet: &[u8]) {
         let Some((balancer, source)) = self.balancers.choose(self.sockets.len()) else {
