Voted limits, held by shares

Cause: limits were checked and shown, but nothing enforced them.

Change: each limit is split over the upstreams of its service; each agent enforces its share alone, on open flows, concurrent requests and requests a second. After a change of documents an agent uses the least of its shares since the last settled version, one that every agent has had in force; messages carry the sender's version and what it knows to be settled. Where a share is in use, a new flow goes to a sibling whose share may be idle: work moves, not shares.

Ruled out: letting an agent use the new share when its own document changes. The property share_of_the_current_document_passes_the_limit shows it fail. It now uses nothing until a version that it has is settled.

On processes: 7 of 24 flows open under a limit of 7 over three agents, twice.

The price: a started agent uses no share until it has heard of a settled version, and one dead agent keeps new documents from settling until a document takes it out.

--- a/crates/plantainquay_core/src/agent.rs
+++ b/crates/plantainquay_core/src/agent.rs
@@ -36,7 +36,7 @@
 pub enum Verdict {
     /// The packet belongs to a flow that is held here.
     Deliver,
-    /// The packet opens a flow here.
+    /// The packet opens a flow here, which is counted already; [`AgentState::open`] must follow.
     Open,
     /// Another agent of the service gets the packet.
     PassOn {
@@ -62,6 +62,9 @@
     /// The caller's echo names this agent, which doesn't hold the flow.
     #[error("lost_flow")]
     LostFlow,
+    /// The member's share of its limit is in use at each agent that was asked.
+    #[error("limit_reached")]
+    LimitReached,
     /// No agent of the service takes new flows.
     #[error("no_capacity")]
     NoCapacity,
--- a/crates/plantainquay_core/src/agent/announce.rs
+++ b/crates/plantainquay_core/src/agent/announce.rs
@@ -37,7 +37,12 @@
     if message.service != state.config.service || message.from == state.config.number {
         return Outbox::new();
     }
-    state.note_generation(message.generation);
+    state.note_generation(message.version.generation);
+    let mut limits = state.limits();
+    limits
+        .ledger
+        .hear(message.from, message.version, message.settled);
+    drop(limits);
     match &message.body {
         AgentMessageBody::Query(load) => {
             state.siblings.lock().record(now, message.from, *load);
--- a/crates/plantainquay_core/src/agent/packet.rs
+++ b/crates/plantainquay_core/src/agent/packet.rs
@@ -5,6 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{AgentState, DropReason, Placement, ResetReason, ServiceView, Shard, Verdict, place};
+use crate::limits::LimitReached;
 use crate::{Segment, Timestamp};
 
 /// Most agents that are asked for one packet.
@@ -74,7 +75,10 @@
         return Verdict::Drop(DropReason::UnknownAddress);
     }
     let own = cx.state.load(cx.now);
-    if let Some(sibling) = chosen_sibling(cx, own.accepting) {
+    let member = cx.view.member_of(segment.tuple.source.ip());
+    let has_room = cx.state.limits().has_room_for_flow(&member);
+    // Where this agent's share is in use, a sibling's may be idle.
+    if let Some(sibling) = chosen_sibling(cx, own.accepting && has_room) {
         let verdict = pass_on(cx, sibling, true);
         if let Some(verdict) = verdict {
             shard.set_redirect(cx.now, cx.flow, sibling);
@@ -88,7 +92,10 @@
     if !shard.can_open() {
         return Verdict::Drop(DropReason::HalfOpenFull);
     }
-    Verdict::Open
+    match cx.state.limits().open_flow(&member) {
+        Ok(()) => Verdict::Open,
+        Err(LimitReached) => Verdict::Reset(ResetReason::LimitReached),
+    }
 }
 
 /// The sibling that a new flow is passed to, if it is.
--- a/crates/plantainquay_core/src/agent/shard.rs
+++ b/crates/plantainquay_core/src/agent/shard.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use plantainquay_schema::{FlowId, UpstreamNumber};
+use plantainquay_schema::{FlowId, Name, UpstreamNumber};
 
 use super::missed::MissedFlows;
 use crate::{FiveTuple, Timestamp};
@@ -31,6 +31,8 @@
 pub struct HeldFlow<T> {
     /// Addresses and ports.
     pub tuple: FiveTuple,
+    /// The member that the caller belongs to.
+    pub member: Name,
     /// Whether the caller echoes timestamps, and with them the flow's tag.
     pub echoes: bool,
     /// Whether the handshake is finished.
--- a/crates/plantainquay_core/src/agent/state.rs
+++ b/crates/plantainquay_core/src/agent/state.rs
@@ -13,6 +13,7 @@
 
 use super::siblings::Siblings;
 use super::{HeldFlow, Outbox, ServiceView, Shard, announce};
+use crate::limits::Limits;
 use crate::{FiveTuple, Timestamp};
 
 /// Time in which a started upstream's share rises to its full size.
@@ -51,6 +52,7 @@
     started: Timestamp,
     view: RwLock<Option<Arc<ServiceView>>>,
     pub(super) siblings: Mutex<Siblings>,
+    limits: Mutex<Limits>,
     shards: Box<[Mutex<Shard<T>>]>,
     open_flows: AtomicU32,
     leaving: AtomicBool,
@@ -79,6 +81,7 @@
             started: now,
             view: RwLock::new(None),
             siblings: Mutex::default(),
+            limits: Mutex::new(Limits::new(config.number)),
             shards: (0..shards).map(|_| Mutex::new(new_shard())).collect(),
             open_flows: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
@@ -123,6 +126,10 @@
         let previous = self.view();
         let view = ServiceView::build(document, self.config.service, previous.as_deref());
         let view = view.map(Arc::new);
+        if let Some(view) = &view {
+            let mut limits = self.limits.lock();
+            limits.ledger.install(view.version, &view.route.service);
+        }
         self.view.write().clone_from(&view);
         view.map_or_else(Outbox::new, |view| announce::held(self, &view))
     }
@@ -155,8 +162,13 @@
         echoes: bool,
         payload: T,
     ) -> Outbox {
+        let view = self.view();
+        let member = view
+            .map(|view| view.member_of(tuple.source.ip()))
+            .unwrap_or_default();
         let held = HeldFlow {
             tuple,
+            member,
             echoes,
             established: false,
             lingering: false,
@@ -188,6 +200,7 @@
             return;
         };
         held.lingering = true;
+        self.limits.lock().close_flow(&held.member);
         self.open_flows.fetch_sub(1, Ordering::Relaxed);
     }
 
@@ -197,6 +210,7 @@
             return (None, Outbox::new());
         };
         if !held.lingering {
+            self.limits.lock().close_flow(&held.member);
             self.open_flows.fetch_sub(1, Ordering::Relaxed);
         }
         let body = AgentMessageBody::Released(vec![flow]);
@@ -204,6 +218,11 @@
         (Some(held.payload), news)
     }
 
+    /// The agent's limits, locked.
+    pub fn limits(&self) -> MutexGuard<'_, Limits> {
+        self.limits.lock()
+    }
+
     /// The agent's own load, as it is reported to siblings.
     #[must_use]
     pub fn load(&self, now: Timestamp) -> Load {
@@ -227,7 +246,8 @@
             service: self.config.service,
             from: self.config.number,
             incarnation: self.config.incarnation,
-            generation: view.map(|view| view.generation).unwrap_or_default(),
+            version: view.map(|view| view.version).unwrap_or_default(),
+            settled: self.limits.lock().ledger.settled(),
             body,
         }
     }
--- a/crates/plantainquay_core/src/agent/view.rs
+++ b/crates/plantainquay_core/src/agent/view.rs
@@ -1,10 +1,11 @@
 //! What an agent knows of its service from the document in force.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use plantainquay_schema::{
-    Document, Generation, ListenerMode, Service, ServiceId, UpstreamNumber, UpstreamState,
+    Document, DocumentVersion, Generation, ListenerMode, Member, Name, Service, ServiceId,
+    UpstreamNumber, UpstreamState,
 };
 
 use crate::ServiceRoute;
@@ -14,8 +15,11 @@
 pub struct ServiceView {
     /// Generation of the document.
     pub generation: Generation,
+    /// The document's place among all that were ever in force.
+    pub version: DocumentVersion,
     /// The service with its table.
     pub route: Arc<ServiceRoute>,
+    members: Vec<Member>,
 }
 
 impl ServiceView {
@@ -36,7 +40,9 @@
         };
         Some(Self {
             generation: document.generation,
+            version: document.version(),
             route,
+            members: document.members.clone(),
         })
     }
 
@@ -46,6 +52,14 @@
         &self.route.service
     }
 
+    /// The member that a caller belongs to; an empty name for none.
+    #[must_use]
+    pub fn member_of(&self, caller: IpAddr) -> Name {
+        Member::of(&self.members, caller)
+            .cloned()
+            .unwrap_or_default()
+    }
+
     /// What flows to `destination` carry, when it is one of the service's.
     #[must_use]
     pub fn mode(&self, destination: SocketAddr) -> Option<ListenerMode> {
--- a/crates/plantainquay_core/src/lib.rs
+++ b/crates/plantainquay_core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod balancer;
 mod documents;
 pub mod gossip;
+pub mod limits;
 mod packet;
 mod rendezvous;
 pub mod requests;
--- a/crates/plantainquay_core/src/requests/outcome.rs
+++ b/crates/plantainquay_core/src/requests/outcome.rs
@@ -28,6 +28,9 @@
     /// Its deadline passed while it waited.
     #[error("deadline_passed")]
     DeadlinePassed,
+    /// The member's share of a limit is in use.
+    #[error("limit_reached")]
+    LimitReached,
     /// The agent is leaving.
     #[error("leaving")]
     Leaving,
--- a/crates/plantainquay_core/tests/agent.rs
+++ b/crates/plantainquay_core/tests/agent.rs
@@ -11,8 +11,8 @@
 use plantainquay_core::agent::{on_packet, on_tick, place};
 use plantainquay_core::{FiveTuple, Segment, Timestamp};
 use plantainquay_schema::{
-    AgentMessage, AgentMessageBody, FlowId, Generation, Incarnation, Load, ServiceId, TunnelHeader,
-    UpstreamNumber,
+    AgentMessage, AgentMessageBody, DocumentVersion, FlowId, Generation, Incarnation, Load,
+    ServiceId, TunnelHeader, UpstreamNumber,
 };
 use rstest::rstest;
 
@@ -68,7 +68,8 @@
         service: ServiceId::of(SERVICE),
         from: number(from),
         incarnation: Incarnation(from.into()),
-        generation: Generation(3),
+        version: document(SERVICE, 3, &[1, 2, 3], &[]).version(),
+        settled: DocumentVersion::default(),
         body,
     };
     on_message(state, now, &message)
--- a/crates/plantainquay_net/src/agent/requests/serve.rs
+++ b/crates/plantainquay_net/src/agent/requests/serve.rs
@@ -9,11 +9,12 @@
 use ntex::server::Server;
 use ntex::util::Bytes;
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
+use plantainquay_core::limits::LimitReached;
 use plantainquay_core::requests::{NotRunReason, Outcome, UnknownReason, Work};
 use serde::Serialize;
 
-use super::Routed;
 use super::attempt::{Answer, Request, attempt, is_end_to_end};
+use super::{Routed, Slot};
 use crate::AgentRuntime;
 
 /// Largest request body that is taken, in bytes.
@@ -92,9 +93,9 @@
         long: routed.class.long,
         deadline: arrived + routed.class.deadline,
     };
-    let result = match gate.slot(work).await {
+    let result = match limited_slot(worker, routed, work).await {
         Err(reason) => Err(Outcome::NotRun(reason)),
-        Ok(_slot) => {
+        Ok(_claims) => {
             let remaining = gate.remaining(work.deadline);
             attempt(&worker.client, routed, request, remaining).await
         }
@@ -110,6 +111,37 @@
     result
 }
 
+/// A request's part of its member's limits; given back when this is dropped.
+struct Counted<'a> {
+    agent: &'a AgentRuntime,
+    routed: &'a Routed,
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        let mut limits = self.agent.state.limits();
+        limits.finish_request(&self.routed.member, &self.routed.class.name);
+    }
+}
+
+/// Counts the request against its limits, then waits for a slot.
+async fn limited_slot<'a>(
+    worker: &'a Worker,
+    routed: &'a Routed,
+    work: Work,
+) -> Result<(Counted<'a>, Slot<'a>), NotRunReason> {
+    let agent = &*worker.agent;
+    let now = agent.clock.now();
+    let started = agent
+        .state
+        .limits()
+        .start_request(now, &routed.member, &routed.class.name);
+    started.map_err(|LimitReached| NotRunReason::LimitReached)?;
+    let counted = Counted { agent, routed };
+    let slot = agent.gate.slot(work).await?;
+    Ok((counted, slot))
+}
+
 fn answer(result: Result<Answer, Outcome>) -> HttpResponse {
     match result {
         Ok(answer) => pass_back(answer),
--- a/crates/plantainquay_net/src/agent/runtime.rs
+++ b/crates/plantainquay_net/src/agent/runtime.rs
@@ -125,6 +125,12 @@
         (self.state.open_flows(), running, waiting)
     }
 
+    /// Whether shares of limits may be used.
+    #[must_use]
+    pub fn are_limits_usable(&self) -> bool {
+        self.state.limits().ledger.is_usable()
+    }
+
     /// Packets that went on, and packets that were dropped or refused.
     #[must_use]
     pub fn packets(&self) -> (u64, u64) {
--- a/crates/plantainquay_net/src/http.rs
+++ b/crates/plantainquay_net/src/http.rs
@@ -58,7 +58,7 @@
     HttpResponse::Ok().body("ok\n")
 }
 
-/// Ready once a document is in force, and until the daemon leaves.
+/// Ready once a document is in force and shares of limits may be used, until the daemon leaves.
 #[web::get("/readyz")]
 async fn readyz(state: State) -> HttpResponse {
     let status = (state.status)();
@@ -68,6 +68,9 @@
     if status.generation == 0 {
         return HttpResponse::ServiceUnavailable().body("no document\n");
     }
+    if status.role == "agent" && !status.limits_usable {
+        return HttpResponse::ServiceUnavailable().body("limits not settled\n");
+    }
     HttpResponse::Ok().body("ready\n")
 }
 
--- a/crates/plantainquay_net/tests/seal.rs
+++ b/crates/plantainquay_net/tests/seal.rs
@@ -2,8 +2,8 @@
 
 use plantainquay_net::{Opened, SealError, Sealer, parse_segment, reset_for, write_tag};
 use plantainquay_schema::{
-    AgentMessage, AgentMessageBody, FlowId, Generation, Incarnation, Key, KeyId, Load, ServiceId,
-    TunnelHeader, UpstreamNumber,
+    AgentMessage, AgentMessageBody, DocumentVersion, FlowId, Generation, Incarnation, Key, KeyId,
+    Load, ServiceId, TunnelHeader, UpstreamNumber,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -52,7 +52,11 @@
         service: ServiceId::of("curing"),
         from: UpstreamNumber::new(5).expect("in range"),
         incarnation: Incarnation(11),
-        generation: Generation(7),
+        version: DocumentVersion {
+            generation: Generation(7),
+            digest_prefix: 8,
+        },
+        settled: DocumentVersion::default(),
         body: AgentMessageBody::Held(vec![FlowId(1), FlowId(u64::MAX)]),
     };
     let mut buf = Vec::new();
--- a/crates/plantainquay_schema/src/agent_message.rs
+++ b/crates/plantainquay_schema/src/agent_message.rs
@@ -1,7 +1,10 @@
 //! Control datagrams between agents of one service.
 
 use crate::tunnel::upstream_number;
-use crate::{FlowId, Generation, Incarnation, Load, ServiceId, TunnelError, UpstreamNumber, wire};
+use crate::{
+    DocumentVersion, FlowId, Generation, Incarnation, Load, ServiceId, TunnelError, UpstreamNumber,
+    wire,
+};
 
 /// One control datagram.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -12,8 +15,10 @@
     pub from: UpstreamNumber,
     /// The sender's life.
     pub incarnation: Incarnation,
-    /// Generation that the sender has in force.
-    pub generation: Generation,
+    /// Document that the sender has in force.
+    pub version: DocumentVersion,
+    /// The newest version that, as far as it knows, every agent of the service has had in force.
+    pub settled: DocumentVersion,
     /// What it says.
     pub body: AgentMessageBody,
 }
@@ -41,7 +46,10 @@
             service: message.service.0,
             from_upstream: u32::from(message.from.get()),
             incarnation: message.incarnation.0,
-            generation: message.generation.0,
+            generation: message.version.generation.0,
+            digest_prefix: message.version.digest_prefix,
+            settled_generation: message.settled.generation.0,
+            settled_digest_prefix: message.settled.digest_prefix,
             body: Some(wire_body(&message.body)),
         }
     }
@@ -55,7 +63,14 @@
             service: ServiceId(message.service),
             from: upstream_number(message.from_upstream)?,
             incarnation: Incarnation(message.incarnation),
-            generation: Generation(message.generation),
+            version: DocumentVersion {
+                generation: Generation(message.generation),
+                digest_prefix: message.digest_prefix,
+            },
+            settled: DocumentVersion {
+                generation: Generation(message.settled_generation),
+                digest_prefix: message.settled_digest_prefix,
+            },
             body: domain_body(message.body),
         })
     }
--- a/crates/plantainquay_schema/src/document.rs
+++ b/crates/plantainquay_schema/src/document.rs
@@ -12,7 +12,7 @@
 
 pub use digest::Digest;
 
-use crate::{Faults, Generation, Name, ServiceId, UpstreamNumber, wire, yaml};
+use crate::{DocumentVersion, Faults, Generation, Name, ServiceId, UpstreamNumber, wire, yaml};
 
 /// One environment's document, free of faults.
 #[derive(Clone, Debug, PartialEq)]
@@ -162,6 +162,17 @@
         &self.source
     }
 
+    /// The document's place among all that were ever in force.
+    #[must_use]
+    pub fn version(&self) -> DocumentVersion {
+        let mut prefix = [0; 8];
+        prefix.copy_from_slice(&self.digest().0[..8]);
+        DocumentVersion {
+            generation: self.generation,
+            digest_prefix: u64::from_be_bytes(prefix),
+        }
+    }
+
     /// The service called `name`.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
@@ -177,7 +188,15 @@
     /// The member whose longest source prefix holds `address`.
     #[must_use]
     pub fn member_of(&self, address: IpAddr) -> Option<&Name> {
-        let matches = self.members.iter().flat_map(|member| {
+        Member::of(&self.members, address)
+    }
+}
+
+impl Member {
+    /// The one of `members` whose longest source prefix holds `address`.
+    #[must_use]
+    pub fn of(members: &[Self], address: IpAddr) -> Option<&Name> {
+        let matches = members.iter().flat_map(|member| {
             let holding = member.sources.iter().filter(|net| net.contains(&address));
             holding.map(move |net| (net.prefix_len(), &member.name))
         });
--- a/crates/plantainquay_schema/src/ids.rs
+++ b/crates/plantainquay_schema/src/ids.rs
@@ -63,6 +63,15 @@
     }
 }
 
+/// A document among all that were ever in force: ordered as they replace each other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct DocumentVersion {
+    /// The document's generation.
+    pub generation: Generation,
+    /// First eight bytes of its digest, big-endian; tells documents of one generation apart.
+    pub digest_prefix: u64,
+}
+
 /// Identifies a flow by a hash of its five-tuple.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FlowId(pub u64);
--- a/crates/plantainquay_schema/src/lib.rs
+++ b/crates/plantainquay_schema/src/lib.rs
@@ -29,7 +29,7 @@
     UpstreamState, WorkClass,
 };
 pub use fault::{Fault, Faults};
-pub use ids::{FlowId, Generation, Incarnation, ServiceId, UpstreamNumber};
+pub use ids::{DocumentVersion, FlowId, Generation, Incarnation, ServiceId, UpstreamNumber};
 pub use in_force::InForce;
 pub use instances::{Instance, instances_from};
 pub use name::Name;
--- a/crates/plantainquayd/src/role.rs
+++ b/crates/plantainquayd/src/role.rs
@@ -76,6 +76,7 @@
             Self::Agent(agent) => {
                 let (open_flows, running, waiting) = agent.load();
                 status.open_flows = open_flows;
+                status.limits_usable = agent.are_limits_usable();
                 status.requests_running = to_u32(running);
                 status.requests_waiting = to_u32(waiting);
                 (status.forwarded, status.refused) = agent.packets();
--- a/crates/stand_ins/src/cluster.rs
+++ b/crates/stand_ins/src/cluster.rs
@@ -206,10 +206,11 @@
     ///
     /// # Errors
     ///
-    /// Fails when a process can't be started or reached.
+    /// Fails when a process doesn't come to be ready.
     pub async fn wait_ready(&self) -> Result<()> {
         for daemon in self.balancers.iter().chain(&self.agents) {
-            wait_status(daemon, |status| status.generation > 0).await?;
+            let ready = |s: &Status| s.generation > 0 && (s.role == "balancer" || s.limits_usable);
+            wait_status(daemon, ready).await?;
         }
         Ok(())
     }
--- a/crates/stand_ins/tests/process_faults.rs
+++ b/crates/stand_ins/tests/process_faults.rs
@@ -11,6 +11,11 @@
 
 const FEEDS: usize = 24;
 const SEED: u64 = 5;
+/// Callers of the first and the second member of the document.
+const HOUSEHOLD: Ipv4Addr = Ipv4Addr::new(127, 0, 1, 1);
+const CREW: Ipv4Addr = Ipv4Addr::new(127, 0, 2, 1);
+/// The crews' limit on open flows in the document.
+const CREW_LIMIT: usize = 7;
 const POLL: Duration = Duration::from_millis(20);
 
 /// Feeds that are followed until they are told to stop.
@@ -29,7 +34,7 @@
             stop: Arc::default(),
         };
         for _ in 0..FEEDS {
-            let caller = caller(cluster, "flow");
+            let caller = caller(cluster, "flow", HOUSEHOLD);
             let ticks: Arc<AtomicU64> = Arc::default();
             let (seen, stop) = (Arc::clone(&ticks), Arc::clone(&feeds.stop));
             feeds.ticks.push(ticks);
@@ -70,11 +75,11 @@
     }
 }
 
-fn caller(cluster: &Cluster, mode: &str) -> Caller {
+fn caller(cluster: &Cluster, mode: &str, source: Ipv4Addr) -> Caller {
     let entrance = cluster.entrances.iter().find(|e| e.mode == mode);
     let entrance = entrance.expect("the document has such a listener");
     Caller {
-        source: IpAddr::V4(Ipv4Addr::new(127, 0, 1, 1)),
+        source: IpAddr::V4(source),
         target: entrance.address,
         service: entrance.service.clone(),
     }
@@ -160,7 +165,9 @@
         .expect("the platform answers");
     feeds.wait_ticks(3).await;
     let more = Feeds::open(&cluster).await;
-    let booking = caller(&cluster, "request").book("while-down").await;
+    let booking = caller(&cluster, "request", HOUSEHOLD)
+        .book("while-down")
+        .await;
     assert_eq!(booking.expect("an answer"), BookingResult::Confirmed);
     cluster
         .set_state(0, "draining")
@@ -212,3 +219,45 @@
         "it ends once it is idle"
     );
 }
+
+/// A voted limit holds over all agents together, and its room comes back when flows end.
+#[tokio::test(flavor = "multi_thread")]
+async fn open_flows_of_a_member_stay_within_its_limit() {
+    let cluster = start(2).await;
+    for _ in 0..2 {
+        let open: Arc<AtomicU64> = Arc::default();
+        let stop: Arc<AtomicBool> = Arc::default();
+        let mut tasks = JoinSet::new();
+        for _ in 0..FEEDS {
+            let caller = caller(&cluster, "flow", CREW);
+            let (open, stop) = (Arc::clone(&open), Arc::clone(&stop));
+            tasks.spawn(async move {
+                let follow = caller.follow_feed(|report| {
+                    open.fetch_add(u64::from(report.ticks == 1), Ordering::Relaxed);
+                    !stop.load(Ordering::Relaxed)
+                });
+                follow.await
+            });
+        }
+        // Those beyond the limit are refused at once; the others tick on.
+        for _ in CREW_LIMIT..FEEDS {
+            let refused = tasks.join_next().await.expect("there is a task");
+            assert!(
+                refused.expect("the task lives").is_err(),
+                "a feed ended by itself"
+            );
+        }
+        while open.load(Ordering::Relaxed) < CREW_LIMIT as u64 {
+            tokio::time::sleep(POLL).await;
+        }
+        stop.store(true, Ordering::Relaxed);
+        while let Some(ended) = tasks.join_next().await {
+            ended.expect("the task lives").expect("the feed was whole");
+        }
+        assert_eq!(open.load(Ordering::Relaxed), CREW_LIMIT as u64);
+        for agent in &cluster.agents {
+            let idle = wait_status(agent, |status| status.open_flows == 0).await;
+            idle.expect("ended flows are given back");
+        }
+    }
+}
--- a/examples/forward_ratio/main.rs
+++ b/examples/forward_ratio/main.rs
@@ -96,7 +96,7 @@
     let address = socket.local_addr()?;
     let stopped = AtomicBool::new(false);
     thread::spawn(move || {
-        let mut buf = [0; 65_535];
+        let mut buf = vec![0; 65_535];
         while !stopped.load(Ordering::Relaxed) {
             if let Ok(bytes) = socket.recv(&mut buf) {
                 let _sent = socket.send_to(&buf[..bytes], to);
