--- /dev/null
+++ b/examples/slopes/main.rs
@@ -0,0 +1,50 @@
+//! What state, decisions and messages cost, at parts of the size that the system is designed for.
+//!
+//! `cargo run --release --example slopes -- --out FOLDER`. Prints a table, and writes `slopes.csv`
+//! and `slopes.svg` into the folder.
+
+mod documents;
+mod measure;
+mod report;
+
+use std::alloc::System;
+use std::path::PathBuf;
+
+use anyhow::Result;
+use clap::{Arg, Command, value_parser};
+use report::Report;
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+
+/// Counts the bytes that are held.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// Parts of the planned 46,000 services.
+const SERVICES: [u32; 4] = [5_750, 11_500, 23_000, 46_000];
+/// Flows held by one agent.
+const FLOWS: [u32; 4] = [1_000, 10_000, 100_000, 500_000];
+/// TCP endpoints held by one agent.
+const ENDPOINTS: [u32; 3] = [500, 1_000, 2_000];
+
+fn main() -> Result<()> {
+    let out = Arg::new("out")
+        .long("out")
+        .value_name("FOLDER")
+        .default_value("target/slopes")
+        .value_parser(value_parser!(PathBuf));
+    let matches = Command::new("slopes").arg(out).get_matches();
+    let out: &PathBuf = matches.get_one("out").expect("the option has a default");
+    let mut report = Report::default();
+    for services in SERVICES {
+        measure::routes(services, &mut report)?;
+    }
+    for flows in FLOWS {
+        measure::flows(flows, &mut report)?;
+    }
+    for endpoints in ENDPOINTS {
+        measure::endpoints(endpoints, &mut report);
+    }
+    measure::messages(&mut report)?;
+    print!("{report}");
+    report.write(out)
+}
