New flows avoid agents that are gone from the list of instances

Change: an upstream whose agent the list doesn't name, while it names others of the service, is passed over for the next in the ranking, at most a third of a service; opening and established packets alike. The list is read about once a second, or more slowly where the fleet's rate asks for it. A repeated opening no longer follows a redirect to a sibling that fell silent.

--- a/crates/plantainquay_core/src/agent/packet.rs
+++ b/crates/plantainquay_core/src/agent/packet.rs
@@ -41,7 +41,7 @@
     if shard.get_exact(cx.flow, &segment.tuple).is_some() {
         return Verdict::Deliver;
     }
-    if let Some(verdict) = follow_redirect(&cx, shard) {
+    if let Some(verdict) = follow_redirect(&cx, shard, segment) {
         return verdict;
     }
     if segment.opening {
@@ -60,10 +60,16 @@
 }
 
 /// Passes the packet to the sibling that is known to hold its flow.
-fn follow_redirect<T>(cx: &Context<'_, T>, shard: &mut Shard<T>) -> Option<Verdict> {
+fn follow_redirect<T>(
+    cx: &Context<'_, T>,
+    shard: &mut Shard<T>,
+    segment: &Segment,
+) -> Option<Verdict> {
     let holder = shard.redirect(cx.now, cx.flow)?;
-    let gone = cx.view.agent(holder).is_none() || cx.header.tried.contains(&holder);
-    if gone {
+    let unknown = cx.view.agent(holder).is_none() || cx.header.tried.contains(&holder);
+    // A repeated opening means no answer so far; a sibling that fell silent won't give one.
+    let silent = segment.opening && cx.state.siblings.lock().fresh(cx.now, holder).is_none();
+    if unknown || silent {
         shard.clear_redirect(cx.flow, holder);
         return None;
     }
--- a/crates/plantainquay_core/src/balancer.rs
+++ b/crates/plantainquay_core/src/balancer.rs
@@ -7,7 +7,7 @@
 
 use std::net::SocketAddr;
 
-use plantainquay_schema::{ServiceId, TunnelHeader, UpstreamNumber};
+use plantainquay_schema::{ServiceId, TunnelHeader, UpstreamNumber, UpstreamState};
 use thiserror::Error;
 
 pub use shard::{BalancerShard, Counters};
@@ -45,7 +45,7 @@
     let destination = segment.tuple.destination;
     let route = routes.find(destination).ok_or(DropReason::UnknownAddress)?;
     let number = tagged_upstream(route, segment)
-        .or_else(|| owner(route, segment))
+        .or_else(|| owner(routes, route, segment))
         .ok_or(DropReason::NoUpstream)?;
     let upstream = route
         .service
@@ -64,14 +64,24 @@
     route.service.upstream(tag).map(|upstream| upstream.number)
 }
 
-fn owner(route: &ServiceRoute, segment: &Segment) -> Option<UpstreamNumber> {
+fn owner(routes: &RouteMap, route: &ServiceRoute, segment: &Segment) -> Option<UpstreamNumber> {
     let flow = segment.tuple.flow_id();
-    if let Some(owner) = route.table.owner(flow) {
+    let ranking = || route.table.ranking(&route.service, flow);
+    let Some(owner) = route.table.owner(flow) else {
+        // All upstreams drain: open flows still have their place.
+        return ranking().first().copied().filter(|_| !segment.opening);
+    };
+    let ejected = routes.ejected(&route.service);
+    if !ejected.contains(&owner) {
         return Some(owner);
     }
-    // All upstreams drain: open flows still have their place.
-    let ranking = route.table.ranking(&route.service, flow);
-    ranking.first().copied().filter(|_| !segment.opening)
+    // Established packets follow the opening ones. An agent that doesn't hold their flow asks the
+    // owner first, which may live although the list says otherwise.
+    let serves = |number: &UpstreamNumber| {
+        let upstream = route.service.upstream(*number);
+        upstream.is_some_and(|u| u.state == UpstreamState::Serving) && !ejected.contains(number)
+    };
+    ranking().into_iter().find(serves).or(Some(owner))
 }
 
 fn header(routes: &RouteMap, service: ServiceId) -> TunnelHeader {
--- a/crates/plantainquay_core/src/routes.rs
+++ b/crates/plantainquay_core/src/routes.rs
@@ -1,19 +1,29 @@
 //! Everything a balancer looks up, computed from one document.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use plantainquay_schema::{Document, Generation, Service, ServiceId};
+use plantainquay_schema::{
+    Document, Generation, Instance, Service, ServiceId, Upstream, UpstreamNumber,
+};
+use smallvec::SmallVec;
 
 use crate::BucketTable;
 
+/// At most one of so many upstreams of a service is left out because its agent is gone.
+const EJECTED_DIVISOR: usize = 3;
+
+/// Upstreams that get no new flow.
+pub(crate) type Ejected = SmallVec<[UpstreamNumber; 4]>;
+
 /// Services by address and port, with their tables; immutable once built.
 #[derive(Clone, Debug, Default)]
 pub struct RouteMap {
     generation: Generation,
-    by_address: HashMap<SocketAddr, Arc<ServiceRoute>>,
-    by_id: HashMap<ServiceId, Arc<ServiceRoute>>,
+    by_address: Arc<HashMap<SocketAddr, Arc<ServiceRoute>>>,
+    by_id: Arc<HashMap<ServiceId, Arc<ServiceRoute>>>,
+    live: Arc<HashSet<SocketAddr>>,
 }
 
 /// One service with its table.
@@ -29,16 +39,45 @@
     /// The map of `document`; services that `previous` holds unchanged are shared with it.
     #[must_use]
     pub fn build(document: &Document, previous: &Self) -> Self {
-        let mut map = Self {
-            generation: document.generation,
-            by_address: HashMap::new(),
-            by_id: HashMap::with_capacity(document.services.len()),
-        };
+        let mut by_address = HashMap::with_capacity(previous.by_address.len());
+        let mut by_id = HashMap::with_capacity(document.services.len());
         for service in &document.services {
             let route = previous.renewed(service);
-            map.insert(route);
+            for destination in destinations(service) {
+                by_address.insert(destination, Arc::clone(&route));
+            }
+            by_id.insert(service.id, route);
+        }
+        Self {
+            generation: document.generation,
+            by_address: Arc::new(by_address),
+            by_id: Arc::new(by_id),
+            live: Arc::clone(&previous.live),
         }
-        map
+    }
+
+    /// The same map, with the instances that the platform's list names as live.
+    #[must_use]
+    pub fn with_live(&self, instances: &[Instance]) -> Self {
+        let live = instances.iter().filter(|i| !i.leaving);
+        Self {
+            live: Arc::new(live.map(|i| i.tunnel).collect()),
+            ..self.clone()
+        }
+    }
+
+    /// Upstreams of the service whose agents are gone from the list of instances: at most a third
+    /// of them, since the list may be wrong.
+    ///
+    /// A list that names no agent of the service says nothing of it.
+    pub(crate) fn ejected(&self, service: &Service) -> Ejected {
+        let is_gone = |upstream: &&Upstream| !self.live.contains(&upstream.agent);
+        let gone = service.upstreams.iter().filter(is_gone);
+        if gone.clone().count() == service.upstreams.len() {
+            return Ejected::new();
+        }
+        let most = service.upstreams.len() / EJECTED_DIVISOR;
+        gone.take(most).map(|u| u.number).collect()
     }
 
     /// Generation of the document.
@@ -81,16 +120,12 @@
             None => Arc::new(ServiceRoute::build(service)),
         }
     }
+}
 
-    fn insert(&mut self, route: Arc<ServiceRoute>) {
-        for address in &route.service.addresses {
-            for listener in &route.service.listeners {
-                let destination = SocketAddr::new(*address, listener.port);
-                self.by_address.insert(destination, Arc::clone(&route));
-            }
-        }
-        self.by_id.insert(route.service.id, route);
-    }
+fn destinations(service: &Service) -> impl Iterator<Item = SocketAddr> {
+    let ports = || service.listeners.iter().map(|listener| listener.port);
+    let addresses = service.addresses.iter();
+    addresses.flat_map(move |address| ports().map(|port| SocketAddr::new(*address, port)))
 }
 
 impl ServiceRoute {
--- a/crates/plantainquay_net/src/balancer.rs
+++ b/crates/plantainquay_net/src/balancer.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use plantainquay_core::RouteMap;
 use plantainquay_core::balancer::{BalancerShard, Counters};
-use plantainquay_schema::{Document, Settings};
+use plantainquay_schema::{Document, Instance, Settings};
 use thiserror::Error;
 
 use crate::{Clock, SealError, Sealer, bind_reuse_port, parse_segment};
@@ -77,8 +77,19 @@
     pub fn install(&self, document: &Document) {
         let mut routes = self.routes.lock();
         *routes = Arc::new(RouteMap::build(document, &routes));
+        self.install_routes(&routes);
+    }
+
+    /// Sends no new flow to agents that are gone from the list of instances.
+    pub fn update_instances(&self, instances: &[Instance]) {
+        let mut routes = self.routes.lock();
+        *routes = Arc::new(routes.with_live(instances));
+        self.install_routes(&routes);
+    }
+
+    fn install_routes(&self, routes: &Arc<RouteMap>) {
         for shard in &self.shards {
-            shard.lock().install(Arc::clone(&routes));
+            shard.lock().install(Arc::clone(routes));
         }
     }
 
--- a/crates/plantainquay_net/src/instances.rs
+++ b/crates/plantainquay_net/src/instances.rs
@@ -1,17 +1,29 @@
 //! The platform's list of instances, as it was last read.
 
+use std::fmt;
 use std::sync::Arc;
 
 use parking_lot::RwLock;
 use plantainquay_schema::Instance;
 
+/// What is done with each list that is read.
+type OnList = Box<dyn Fn(&[Instance]) + Send + Sync>;
+
 /// The list of instances; empty until it was read once.
-#[derive(Debug, Default)]
 pub struct InstanceView {
     instances: RwLock<Arc<Vec<Instance>>>,
+    on_list: OnList,
 }
 
 impl InstanceView {
+    /// A view without a list; `on_list` is called with each one that is read.
+    pub fn new(on_list: impl Fn(&[Instance]) + Send + Sync + 'static) -> Self {
+        Self {
+            instances: RwLock::default(),
+            on_list: Box::new(on_list),
+        }
+    }
+
     /// The list as it was last read.
     #[must_use]
     pub fn get(&self) -> Arc<Vec<Instance>> {
@@ -20,6 +32,15 @@
 
     /// Replaces the list.
     pub(crate) fn set(&self, instances: Vec<Instance>) {
+        (self.on_list)(&instances);
         *self.instances.write() = Arc::new(instances);
     }
 }
+
+impl fmt::Debug for InstanceView {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("InstanceView")
+            .field("instances", &self.instances)
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/plantainquay_net/src/platform.rs
+++ b/crates/plantainquay_net/src/platform.rs
@@ -10,7 +10,6 @@
 use ntex::client::error::ClientError;
 use ntex::http::StatusCode;
 use ntex::time::{Millis, sleep};
-use plantainquay_core::Timestamp;
 use plantainquay_core::gossip::{is_watcher, poll_interval};
 use plantainquay_schema::{Document, Settings, instances_from};
 use thiserror::Error;
@@ -25,6 +24,8 @@
 const MAX_LIST_BYTES: usize = 16 << 20;
 /// Interval of polls until the first document and the first list are there.
 const START_POLL: Duration = Duration::from_millis(500);
+/// Shortest interval of reads of the list of instances.
+const LIST_POLL: Duration = Duration::from_secs(1);
 const FIRST_RETRY: Duration = Duration::from_millis(100);
 const LAST_RETRY: Duration = Duration::from_secs(5);
 
@@ -95,19 +96,29 @@
         }
     }
 
+    /// Reads the list of instances again and again, at a rate that the whole fleet shares.
+    pub async fn run_instances(self: Arc<Self>) {
+        let client = Client::new().await;
+        loop {
+            self.refresh_instances(&client).await;
+            let known = self.instances.get().len();
+            let interval = if known == 0 {
+                START_POLL
+            } else {
+                poll_interval(known, LIST_POLL, self.seed())
+            };
+            pause(interval).await;
+        }
+    }
+
     /// Follows the platform for as long as the process lives; runs on an ntex system.
     ///
     /// While the platform is down, everything that is known stays so.
-    pub async fn run(self) {
+    pub async fn run(self: Arc<Self>) {
         let client = Client::new().await;
         let mut revision = String::new();
         let mut retry = FIRST_RETRY;
-        let mut list_due = Timestamp::default();
         loop {
-            if self.clock.now() >= list_due || self.instances.get().is_empty() {
-                self.refresh_instances(&client).await;
-                list_due = self.clock.now() + self.interval();
-            }
             let ask = match self.standing(&revision) {
                 Standing::Watcher => Ask::OnChange,
                 Standing::Newcomer | Standing::Listener => Ask::Now,
@@ -145,13 +156,13 @@
         }
     }
 
+    fn seed(&self) -> u64 {
+        self.clock.now().0 ^ u64::from(self.settings.tunnel.port()) << 48
+    }
+
     fn interval(&self) -> Duration {
-        let seed = self.clock.now().0 ^ u64::from(self.settings.tunnel.port()) << 48;
-        poll_interval(
-            self.instances.get().len(),
-            self.settings.platform.poll,
-            seed,
-        )
+        let known = self.instances.get().len();
+        poll_interval(known, self.settings.platform.poll, self.seed())
     }
 
     async fn refresh_instances(&self, client: &Client) {
--- a/crates/plantainquayd/src/daemon.rs
+++ b/crates/plantainquayd/src/daemon.rs
@@ -50,8 +50,9 @@
         refresh_metrics: metrics_source(&role),
         metrics,
     });
-    let instances = Arc::new(InstanceView::default());
+    let instances = Arc::new(instance_view(&role));
     let reader = PlatformReader::new(&settings, Arc::clone(&store), Arc::clone(&instances), clock);
+    let reader = Arc::new(reader);
     start_gossip(&settings, store, instances, clock, &threads)?;
     let terminated = await_sigterm(&threads)?;
     let system = ntex::rt::System::build()
@@ -61,6 +62,7 @@
     system.block_on(async move {
         let servers = role.serve_requests()?;
         let http = serve_http(settings.http, http).context("http")?;
+        ntex::rt::spawn(Arc::clone(&reader).run_instances());
         ntex::rt::spawn(reader.run());
         log_start(&settings);
         // A sender that is gone can't tell of a signal any more: leave as well.
@@ -112,6 +114,11 @@
     SimpleLogger::init(level, config).context("log")
 }
 
+fn instance_view(role: &Arc<RoleRuntime>) -> InstanceView {
+    let role = Arc::clone(role);
+    InstanceView::new(move |instances| role.update_instances(instances))
+}
+
 fn document_store(role: &Arc<RoleRuntime>, clock: Clock) -> DocumentStore {
     let role = Arc::clone(role);
     DocumentStore::new(clock, move |now, document| role.install(now, document))
--- a/crates/plantainquayd/src/role.rs
+++ b/crates/plantainquayd/src/role.rs
@@ -7,7 +7,7 @@
 use plantainquay_core::Timestamp;
 use plantainquay_net::{AgentRuntime, BalancerRuntime, Clock, serve_requests};
 use plantainquay_schema::wire::status::Status;
-use plantainquay_schema::{Document, Role, Settings};
+use plantainquay_schema::{Document, Instance, Role, Settings};
 use tokio::runtime::Handle;
 
 /// The running half of a daemon.
@@ -38,6 +38,12 @@
         }
     }
 
+    pub(crate) fn update_instances(&self, instances: &[Instance]) {
+        if let Self::Balancer(balancer) = self {
+            balancer.update_instances(instances);
+        }
+    }
+
     /// Starts the request service where there is one.
     pub(crate) fn serve_requests(&self) -> Result<Vec<Server>> {
         match self {
--- a/crates/stand_ins/tests/process_faults.rs
+++ b/crates/stand_ins/tests/process_faults.rs
@@ -261,3 +261,19 @@
         }
     }
 }
+
+/// SIGKILL on an agent: once the list of instances no longer names it, new flows go elsewhere,
+/// without a new document.
+#[tokio::test(flavor = "multi_thread")]
+async fn new_flows_avoid_a_killed_agent() {
+    let mut cluster = start(2).await;
+    let mut dead = cluster.agents.remove(0);
+    dead.process.kill().expect("the agent is killed");
+    cluster
+        .publish_instances()
+        .await
+        .expect("the platform answers");
+    let mut feeds = Feeds::open(&cluster).await;
+    feeds.wait_ticks(3).await;
+    feeds.finish().await;
+}
--- a/examples/slopes/measure.rs
+++ b/examples/slopes/measure.rs
@@ -60,7 +60,12 @@
         "ns",
         decisions(&routes, services, tag),
     );
-    report.add("memory, two generations held", services, "MB", megabytes(held_bytes()));
+    report.add(
+        "memory, two generations held",
+        services,
+        "MB",
+        megabytes(held_bytes()),
+    );
     Ok(())
 }
 
