Pass on a caller's reset that is unknown here

Cause: an agent that didn't hold a flow dropped the caller's reset, where any other packet would have gone on along the ranking. The flow then outlived its caller at the agent that holds it, until it had been silent for a minute.

Change: the reset goes on like other packets and is dropped at the end.

Measured: core/tests/agent.rs, verdicts "reset of nothing" and "reset that all were asked for".

--- a/crates/plantainquay_core/src/agent/packet.rs
+++ b/crates/plantainquay_core/src/agent/packet.rs
@@ -171,13 +171,11 @@
 
 /// Asks the next agent of the bucket's ranking for a flow that isn't held here.
 ///
-/// Only the owner of the bucket resets a flow, since only it hears from each sibling.
+/// Only the owner of the bucket resets a flow, since only it hears from each sibling. A caller's
+/// reset goes the same way, but is never answered: its flow would outlive it otherwise.
 fn on_unknown<T>(cx: &Context<'_, T>, shard: &mut Shard<T>, segment: &Segment) -> Verdict {
-    if segment.reset {
-        return Verdict::Drop(DropReason::StrayReset);
-    }
     let own = cx.state.config.number;
-    if segment.tag == Some(own) {
+    if segment.tag == Some(own) && !segment.reset {
         return Verdict::Reset(ResetReason::LostFlow);
     }
     let ranking = cx.view.route.table.ranking(cx.view.service(), cx.flow);
@@ -187,7 +185,7 @@
         .table
         .owner(cx.flow)
         .or(ranking.first().copied());
-    if owner == Some(own) {
+    if owner == Some(own) && !segment.reset {
         shard.missed_mut().note(cx.now, cx.flow);
         let lost = shard
             .missed_mut()
@@ -202,7 +200,11 @@
     let next = candidates.find(|n| *n != own && !cx.header.tried.contains(n));
     let next = next.filter(|_| cx.header.tried.len() + 1 < MAX_TRIED);
     let passed = next.and_then(|next| pass_on(cx, next, false));
-    passed.unwrap_or(Verdict::Drop(DropReason::UnknownFlow))
+    passed.unwrap_or(Verdict::Drop(if segment.reset {
+        DropReason::StrayReset
+    } else {
+        DropReason::UnknownFlow
+    }))
 }
 
 fn pass_on<T>(cx: &Context<'_, T>, upstream: UpstreamNumber, placed: bool) -> Option<Verdict> {
--- a/crates/plantainquay_core/tests/agent.rs
+++ b/crates/plantainquay_core/tests/agent.rs
@@ -116,6 +116,12 @@
     let mut reset = Segment::established(own);
     reset.reset = true;
     note("reset of nothing", ask(&state, now, &header(), &reset));
+    let mut all_asked = header();
+    all_asked.tried.extend([number(2), number(3)]);
+    note(
+        "reset that all were asked for",
+        ask(&state, now, &all_asked, &reset),
+    );
     hear(&state, now, 2, AgentMessageBody::Held(vec![own.flow_id()]));
     note(
         "held by a sibling",
