--- /dev/null
+++ b/crates/plantainquay_trace/src/world/packets.rs
@@ -0,0 +1,202 @@
+//! Callers' packets and their ways.
+
+use std::net::SocketAddr;
+
+use plantainquay_core::agent::{Outbox, Verdict};
+use plantainquay_core::{FiveTuple, Segment};
+use plantainquay_schema::{Name, TunnelHeader, UpstreamNumber};
+
+use super::{CallerFlow, World};
+use crate::documents::service_address;
+use crate::processes::Waiting;
+use crate::{Fate, Outcome, ProcessId};
+
+/// Ports of callers start here.
+const FIRST_PORT: u16 = 20_000;
+
+impl World {
+    pub(super) fn open(&mut self, flow: &Name, service: &Name, via: &Name, echoes: bool) {
+        let index = u16::try_from(self.flows.len()).unwrap_or(0);
+        let caller_flow = CallerFlow {
+            tuple: FiveTuple {
+                source: SocketAddr::from(([198, 51, 100, 7], FIRST_PORT.wrapping_add(index))),
+                destination: service_address(service.as_str()),
+            },
+            service: service.clone(),
+            echoes: echoes && self.policy.tags,
+            holder: None,
+            over: false,
+        };
+        let mut segment = Segment::opening(caller_flow.tuple);
+        segment.has_timestamp = caller_flow.echoes;
+        self.flows.insert(flow.clone(), caller_flow);
+        self.at_balancer(flow, via, &segment);
+    }
+
+    pub(super) fn send(&mut self, flow: &Name, via: &Name) {
+        let Some(caller_flow) = self.flows.get(flow).filter(|flow| !flow.over) else {
+            return;
+        };
+        let mut segment = Segment::established(caller_flow.tuple);
+        if caller_flow.echoes {
+            let tag = caller_flow.holder.as_ref().and_then(upstream_number);
+            segment = segment.with_tag(tag);
+        }
+        self.at_balancer(flow, via, &segment);
+    }
+
+    pub(super) fn close(&mut self, flow: &Name) {
+        let Some(caller_flow) = self.flows.get_mut(flow) else {
+            return;
+        };
+        caller_flow.over = true;
+        let id = caller_flow.tuple.flow_id();
+        let Some(holder) = caller_flow.holder.clone() else {
+            return;
+        };
+        let Some(agent) = self.agents.get(&holder) else {
+            return;
+        };
+        let (_, outbox) = agent.state.close(&mut agent.state.shard(id), id);
+        self.send_messages(&holder, outbox);
+    }
+
+    fn at_balancer(&mut self, flow: &Name, via: &Name, segment: &Segment) {
+        let way = vec![ProcessId::Balancer(via.clone())];
+        let balancer = self.balancers.entry(via.clone()).or_default();
+        if balancer.paused {
+            return self.note(flow, way, Fate::Lost("balancer_paused".to_owned()));
+        }
+        match (self.policy.route)(&balancer.routes, &mut balancer.cache, segment) {
+            Err(reason) => self.note(flow, way, Fate::Lost(reason.to_string())),
+            Ok(forward) => match self.agents_at.get(&forward.to).cloned() {
+                Some(agent) => self.travel(flow, way, agent, &forward.header, segment),
+                None => self.note(flow, way, Fate::Lost("no_such_process".to_owned())),
+            },
+        }
+    }
+
+    /// Takes a packet from the last process of its way to an agent.
+    fn travel(
+        &mut self,
+        flow: &Name,
+        way: Vec<ProcessId>,
+        to: ProcessId,
+        header: &TunnelHeader,
+        segment: &Segment,
+    ) {
+        let from = way.last().cloned();
+        let cut = from.is_some_and(|from| self.cuts.contains(&(from, to.clone())));
+        if cut {
+            return self.note(flow, way, Fate::Lost("cut".to_owned()));
+        }
+        self.at_agent(flow, way, to, header, segment);
+    }
+
+    pub(super) fn at_agent(
+        &mut self,
+        flow: &Name,
+        mut way: Vec<ProcessId>,
+        at: ProcessId,
+        header: &TunnelHeader,
+        segment: &Segment,
+    ) {
+        let now = self.now;
+        way.push(at.clone());
+        let Some(agent) = self.agents.get_mut(&at) else {
+            return self.note(flow, way, Fate::Lost("no_such_process".to_owned()));
+        };
+        if agent.paused {
+            let waiting = Waiting::Packet(flow.clone(), header.clone(), *segment);
+            agent.waiting.push_back(waiting);
+            return;
+        }
+        let state = &agent.state;
+        let mut shard = state.shard(segment.tuple.flow_id());
+        let verdict = (self.policy.on_packet)(state, &mut shard, now, header, segment);
+        let mut news = Outbox::new();
+        if verdict == Verdict::Open {
+            news = state.open(&mut shard, now, segment.tuple, segment.has_timestamp, ());
+            shard.mark_established(segment.tuple.flow_id());
+        }
+        drop(shard);
+        self.send_messages(&at, news);
+        match verdict {
+            Verdict::Open => self.opened(flow, way, at),
+            Verdict::Deliver => self.delivered(flow, way, &at),
+            Verdict::PassOn { to, header, .. } => {
+                self.summary.passed_on += 1;
+                match self.agents_at.get(&to).cloned() {
+                    Some(next) => self.travel(flow, way, next, &header, segment),
+                    None => self.note(flow, way, Fate::Lost("no_such_process".to_owned())),
+                }
+            }
+            Verdict::Reset(reason) => self.note(flow, way, Fate::Reset(reason.to_string())),
+            Verdict::Drop(reason) => self.note(flow, way, Fate::Lost(reason.to_string())),
+        }
+    }
+
+    fn opened(&mut self, flow: &Name, way: Vec<ProcessId>, at: ProcessId) {
+        let right_service = self.is_of_service(flow, &at);
+        let Some(caller_flow) = self.flows.get_mut(flow) else {
+            return;
+        };
+        caller_flow.holder = Some(at);
+        let fate = if right_service {
+            Fate::Opened
+        } else {
+            Fate::Misdelivered
+        };
+        self.note(flow, way, fate);
+    }
+
+    fn delivered(&mut self, flow: &Name, way: Vec<ProcessId>, at: &ProcessId) {
+        let holder = self.flows.get(flow).and_then(|flow| flow.holder.as_ref());
+        let right = holder == Some(at) && self.is_of_service(flow, at);
+        let fate = if right {
+            Fate::Delivered
+        } else {
+            Fate::Misdelivered
+        };
+        self.note(flow, way, fate);
+    }
+
+    fn is_of_service(&self, flow: &Name, at: &ProcessId) -> bool {
+        let service = self.flows.get(flow).map(|flow| &flow.service);
+        matches!(at, ProcessId::Agent(own, _) if Some(own) == service)
+    }
+
+    fn note(&mut self, flow: &Name, way: Vec<ProcessId>, fate: Fate) {
+        match &fate {
+            Fate::Opened => self.summary.opened += 1,
+            Fate::Delivered => self.summary.delivered += 1,
+            Fate::Misdelivered => self.summary.misdelivered += 1,
+            Fate::Lost(_) => self.summary.lost += 1,
+            Fate::Reset(_) => self.note_reset(flow),
+        }
+        self.outcomes.push(Outcome {
+            millis: self.now.0 / 1_000,
+            flow: flow.clone(),
+            way,
+            fate,
+        });
+    }
+
+    /// A reset flow is over; it was broken when its holder still had it.
+    fn note_reset(&mut self, flow: &Name) {
+        let Some(caller_flow) = self.flows.get_mut(flow) else {
+            return;
+        };
+        if caller_flow.holder.is_some() && !caller_flow.over {
+            self.summary.broken += 1;
+        }
+        caller_flow.over = true;
+    }
+}
+
+fn upstream_number(process: &ProcessId) -> Option<UpstreamNumber> {
+    match process {
+        ProcessId::Agent(_, number) => Some(*number),
+        ProcessId::Balancer(_) => None,
+    }
+}
--- a/crates/stand_ins/src/lib.rs
+++ b/crates/stand_ins/src/lib.rs
@@ -8,6 +8,7 @@
 mod platform;
 mod process;
 mod run;
+mod sample;
 mod upstream;
 
 pub use caller::{BookingResult, Caller, FeedReport, http_get, http_put};
@@ -16,4 +17,5 @@
 pub use platform::run_platform;
 pub use process::{ChildProcess, free_address};
 pub use run::run_process;
+pub use sample::one_service;
 pub use upstream::{file_bytes, run_upstream};
--- /dev/null
+++ b/crates/stand_ins/src/sample.rs
@@ -0,0 +1,56 @@
+//! Documents of one service, for examples.
+
+use plantainquay_schema::wire::document as wire;
+use plantainquay_schema::{Document, Faults};
+
+/// A document whose one service is reached at 192.0.2.1:80.
+///
+/// `agent` gives the tunnel of the agent beside each upstream.
+///
+/// # Errors
+///
+/// Fails when an agent's address is no `ip:port`, or there is no upstream.
+pub fn one_service(
+    service: &str,
+    upstreams: u32,
+    connections: u32,
+    agent: impl Fn(u32) -> String,
+) -> Result<Document, Faults> {
+    let listed = (1..=upstreams).map(|number| wire::Upstream {
+        number,
+        name: format!("{service}-{number}"),
+        data_centre: "one".to_owned(),
+        slots: 2,
+        connections,
+    });
+    let facts = (1..=upstreams).map(|number| wire::UpstreamFact {
+        service: service.to_owned(),
+        number,
+        agent: agent(number),
+        endpoint: agent(number),
+        state: String::new(),
+    });
+    Document::try_from(wire::Document {
+        environment: "sample".to_owned(),
+        generation: 1,
+        data_centres: vec!["one".to_owned()],
+        members: Vec::new(),
+        services: vec![wire::Service {
+            name: service.to_owned(),
+            listeners: vec![wire::Listener {
+                port: 80,
+                protocol: "tcp".to_owned(),
+                mode: "flow".to_owned(),
+            }],
+            upstreams: listed.collect(),
+            ..wire::Service::default()
+        }],
+        facts: Some(wire::Facts {
+            addresses: vec![wire::ServiceAddress {
+                service: service.to_owned(),
+                address: "192.0.2.1".to_owned(),
+            }],
+            upstreams: facts.collect(),
+        }),
+    })
+}
--- a/examples/forward_ratio/main.rs
+++ b/examples/forward_ratio/main.rs
@@ -13,13 +13,15 @@
 use anyhow::Result;
 use etherparse::PacketBuilder;
 use plantainquay_net::{BalancerRuntime, Clock, bind_reuse_port, bind_udp};
-use plantainquay_schema::wire::document as wire;
-use plantainquay_schema::{Document, Settings};
+use plantainquay_schema::Settings;
+use stand_ins::one_service;
 
 const FLOWS: u32 = 10_000;
 const PAYLOAD_BYTES: usize = 200;
 const PACKETS: u64 = 300_000;
 const WINDOW: u64 = 256;
+const UPSTREAMS: u32 = 7;
+const CONNECTIONS: u32 = 2_000;
 const ROUNDS: usize = 5;
 const RELAY_CHECK: Duration = Duration::from_millis(200);
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
@@ -115,7 +117,8 @@
          threads: 1\nkeys: [{{ id: 1, secret: 000102030405060708090a0b0c0d0e0f }}]\n"
     ))?;
     let balancer = BalancerRuntime::start(&settings, Clock::start())?;
-    balancer.install(&document(agents)?);
+    let document = one_service("feed", UPSTREAMS, CONNECTIONS, |_| agents.to_string())?;
+    balancer.install(&document);
     Ok(tunnel)
 }
 
@@ -130,48 +133,6 @@
     buf
 }
 
-/// One service of seven upstreams, all of them at the sink.
-fn document(agents: SocketAddr) -> Result<Document> {
-    let upstreams = (1..=7).map(|number| wire::Upstream {
-        number,
-        name: format!("feed-{number}"),
-        data_centre: "one".to_owned(),
-        slots: 2,
-        connections: 2_000,
-    });
-    let facts = (1..=7).map(|number| wire::UpstreamFact {
-        service: "feed".to_owned(),
-        number,
-        agent: agents.to_string(),
-        endpoint: agents.to_string(),
-        state: String::new(),
-    });
-    let document = wire::Document {
-        environment: "bench".to_owned(),
-        generation: 1,
-        data_centres: vec!["one".to_owned()],
-        members: Vec::new(),
-        services: vec![wire::Service {
-            name: "feed".to_owned(),
-            listeners: vec![wire::Listener {
-                port: 80,
-                protocol: "tcp".to_owned(),
-                mode: "flow".to_owned(),
-            }],
-            upstreams: upstreams.collect(),
-            ..wire::Service::default()
-        }],
-        facts: Some(wire::Facts {
-            addresses: vec![wire::ServiceAddress {
-                service: "feed".to_owned(),
-                address: "192.0.2.1".to_owned(),
-            }],
-            upstreams: facts.collect(),
-        }),
-    };
-    Ok(Document::try_from(document)?)
-}
-
 fn loopback() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
--- a/examples/placement/model.rs
+++ b/examples/placement/model.rs
@@ -10,12 +10,12 @@
     AgentConfig, AgentState, Outbox, Verdict, on_message, on_packet, on_tick,
 };
 use plantainquay_core::{FiveTuple, RouteMap, Segment, Timestamp, balancer};
-use plantainquay_schema::wire::document as wire;
 use plantainquay_schema::{
     AgentMessage, Document, FlowId, Incarnation, ServiceId, TunnelHeader, UpstreamNumber,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use stand_ins::one_service;
 
 const SERVICE: &str = "feed";
 const TICK: Duration = Duration::from_millis(250);
@@ -280,46 +280,9 @@
 }
 
 fn document(upstreams: usize) -> Arc<Document> {
-    let numbers: Vec<u32> = (1..=upstreams)
-        .filter_map(|n| u32::try_from(n).ok())
-        .collect();
+    const CONNECTIONS: u32 = 20_000;
+    let upstreams = u32::try_from(upstreams).unwrap_or(u32::MAX);
     let agent = |number: u32| format!("10.0.{}.{}:4789", number >> 8, number & 0xff);
-    let facts = numbers.iter().map(|number| wire::UpstreamFact {
-        service: SERVICE.to_owned(),
-        number: *number,
-        agent: agent(*number),
-        endpoint: agent(*number),
-        state: String::new(),
-    });
-    let listed = numbers.iter().map(|number| wire::Upstream {
-        number: *number,
-        name: format!("{SERVICE}-{number}"),
-        data_centre: "one".to_owned(),
-        slots: 2,
-        connections: 20_000,
-    });
-    let document = wire::Document {
-        environment: "model".to_owned(),
-        generation: 1,
-        data_centres: vec!["one".to_owned()],
-        members: Vec::new(),
-        services: vec![wire::Service {
-            name: SERVICE.to_owned(),
-            listeners: vec![wire::Listener {
-                port: 80,
-                protocol: "tcp".to_owned(),
-                mode: "flow".to_owned(),
-            }],
-            upstreams: listed.collect(),
-            ..wire::Service::default()
-        }],
-        facts: Some(wire::Facts {
-            addresses: vec![wire::ServiceAddress {
-                service: SERVICE.to_owned(),
-                address: "192.0.2.1".to_owned(),
-            }],
-            upstreams: facts.collect(),
-        }),
-    };
-    Arc::new(Document::try_from(document).expect("the model's document is free of faults"))
+    let document = one_service(SERVICE, upstreams, CONNECTIONS, agent);
+    Arc::new(document.expect("the model's document is free of faults"))
 }
