Reset lost flows of echoing callers too

Cause: an owner reset a flow that every sibling had denied only if its caller doesn't echo timestamps; that dates from announcements, which leave out echoing callers. Questions don't.

Change: the condition is gone.

--- a/crates/plantainquay_core/src/agent/packet.rs
+++ b/crates/plantainquay_core/src/agent/packet.rs
@@ -190,7 +190,7 @@
         let lost = shard
             .missed_mut()
             .is_lost(cx.now, cx.flow, cx.view.service(), own);
-        if lost && !segment.has_timestamp && !cx.state.is_behind() {
+        if lost && !cx.state.is_behind() {
             shard.missed_mut().clear(cx.flow);
             return Verdict::Reset(ResetReason::UnknownFlow);
         }
--- a/crates/plantainquay_core/tests/agent.rs
+++ b/crates/plantainquay_core/tests/agent.rs
@@ -153,11 +153,16 @@
 }
 
 /// An owner resets a flow only after each sibling has said that it doesn't hold it.
-#[test]
-fn lost_flow_is_reset_after_all_siblings_denied_it() {
+#[rstest]
+#[case::caller_that_does_not_echo(false)]
+#[case::echo_names_an_upstream_that_was_taken_out(true)]
+fn lost_flow_is_reset_after_all_siblings_denied_it(#[case] echoes: bool) {
     let state = agent(1, &[1, 2, 3], &[]);
     let own = tuple_of(&state, 1);
-    let segment = Segment::established(own);
+    let mut segment = Segment::established(own);
+    if echoes {
+        segment = segment.with_tag(Some(number(9)));
+    }
     let mut out = String::new();
     for second in [0_u64, 1, 2, 59, 61] {
         let now = Timestamp::from_millis(second * 1_000);
