Count a flow and give it back under one member

Cause: the member of a flow was looked up twice, when the limit was counted and when the flow was held, each under the document then in force, and a third time for the metrics. A document between the two would have given a flow back to another member than it was counted for. Found by reading.

Change: the verdict carries the opening with its member, and the state holds that one; closing returns the held flow, from which the metrics take the member.

--- a/crates/plantainquay_core/src/agent.rs
+++ b/crates/plantainquay_core/src/agent.rs
@@ -8,6 +8,7 @@
 
 mod announce;
 mod missed;
+mod opening;
 mod packet;
 mod placement;
 mod shard;
@@ -22,6 +23,7 @@
 use thiserror::Error;
 
 pub use announce::{on_message, on_tick};
+pub use opening::Opening;
 pub use packet::on_packet;
 pub use placement::{Placement, place};
 pub use shard::{HeldFlow, Shard};
@@ -37,7 +39,7 @@
     /// The packet belongs to a flow that is held here.
     Deliver,
     /// The packet opens a flow here, which is counted already; [`AgentState::open`] must follow.
-    Open,
+    Open(Opening),
     /// Another agent of the service gets the packet.
     PassOn {
         /// The other agent's tunnel.
--- a/crates/plantainquay_core/src/agent/packet.rs
+++ b/crates/plantainquay_core/src/agent/packet.rs
@@ -4,7 +4,9 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{AgentState, DropReason, Placement, ResetReason, ServiceView, Shard, Verdict, place};
+use super::{
+    AgentState, DropReason, Opening, Placement, ResetReason, ServiceView, Shard, Verdict, place,
+};
 use crate::limits::LimitReached;
 use crate::{Segment, Timestamp};
 
@@ -99,7 +101,7 @@
         return Verdict::Drop(DropReason::HalfOpenFull);
     }
     match cx.state.limits().open_flow(&member) {
-        Ok(()) => Verdict::Open,
+        Ok(()) => Verdict::Open(Opening::new(segment, member.clone())),
         Err(LimitReached) => Verdict::Reset(ResetReason::LimitReached),
     }
 }
--- a/crates/plantainquay_core/src/agent/state.rs
+++ b/crates/plantainquay_core/src/agent/state.rs
@@ -12,9 +12,9 @@
 };
 
 use super::siblings::Siblings;
-use super::{HeldFlow, Outbox, ServiceView, Shard, announce};
+use super::{HeldFlow, Opening, Outbox, ServiceView, Shard, announce};
+use crate::Timestamp;
 use crate::limits::Limits;
-use crate::{FiveTuple, Timestamp};
 
 /// Time in which a started upstream's share rises to its full size.
 const RAMP: Duration = Duration::from_secs(10);
@@ -158,26 +158,23 @@
         &self,
         shard: &mut Shard<T>,
         now: Timestamp,
-        tuple: FiveTuple,
-        echoes: bool,
+        opening: Opening,
         payload: T,
     ) -> Outbox {
-        let view = self.view();
-        let member = view
-            .map(|view| view.member_of(tuple.source.ip()))
-            .unwrap_or_default();
+        let flow = opening.tuple.flow_id();
+        let echoes = opening.echoes;
         let held = HeldFlow {
-            tuple,
-            member,
+            tuple: opening.tuple,
+            member: opening.member,
             echoes,
             established: false,
             lingering: false,
             payload,
         };
-        shard.insert(tuple.flow_id(), held);
+        shard.insert(flow, held);
         let open_flows = self.open_flows.fetch_add(1, Ordering::Relaxed) + 1;
-        let body = AgentMessageBody::Held(vec![tuple.flow_id()]);
-        let mut news = announce::to_owner(self, tuple.flow_id(), echoes, body);
+        let body = AgentMessageBody::Held(vec![flow]);
+        let mut news = announce::to_owner(self, flow, echoes, body);
         if self.is_report_due(open_flows) {
             news.extend(announce::load_to_some(self, now));
         }
@@ -205,7 +202,7 @@
     }
 
     /// Forgets a flow that has ended; returns the news for the bucket's owner.
-    pub fn close(&self, shard: &mut Shard<T>, flow: FlowId) -> (Option<T>, Outbox) {
+    pub fn close(&self, shard: &mut Shard<T>, flow: FlowId) -> (Option<HeldFlow<T>>, Outbox) {
         let Some(held) = shard.remove(flow) else {
             return (None, Outbox::new());
         };
@@ -215,7 +212,7 @@
         }
         let body = AgentMessageBody::Released(vec![flow]);
         let news = announce::to_owner(self, flow, held.echoes, body);
-        (Some(held.payload), news)
+        (Some(held), news)
     }
 
     /// The agent's limits, locked.
--- a/crates/plantainquay_core/tests/agent.rs
+++ b/crates/plantainquay_core/tests/agent.rs
@@ -7,11 +7,13 @@
 use std::time::Duration;
 
 use common::document;
-use plantainquay_core::agent::{AgentConfig, AgentState, Outbox, Placement, on_message};
+use plantainquay_core::agent::{
+    AgentConfig, AgentState, DropReason, Opening, Outbox, Placement, Verdict, on_message,
+};
 use plantainquay_core::agent::{on_packet, on_tick, place};
 use plantainquay_core::{FiveTuple, Segment, Timestamp};
 use plantainquay_schema::{
-    AgentMessage, AgentMessageBody, DocumentVersion, FlowId, Generation, Incarnation, Load,
+    AgentMessage, AgentMessageBody, DocumentVersion, FlowId, Generation, Incarnation, Load, Name,
     ServiceId, TunnelHeader, UpstreamNumber,
 };
 use rstest::rstest;
@@ -199,17 +201,12 @@
     for port in 1..=20 {
         let segment = Segment::opening(tuple(port));
         let mut shard = state.shard(segment.tuple.flow_id());
-        match format!(
-            "{:?}",
-            on_packet(&state, &mut shard, now, &header(), &segment)
-        )
-        .as_str()
-        {
-            "Open" => {
-                state.open(&mut shard, now, segment.tuple, false, ());
+        match on_packet(&state, &mut shard, now, &header(), &segment) {
+            Verdict::Open(opening) => {
+                state.open(&mut shard, now, opening, ());
             }
-            "Drop(HalfOpenFull)" => dropped += 1,
-            other => panic!("{other}"),
+            Verdict::Drop(DropReason::HalfOpenFull) => dropped += 1,
+            other => panic!("{other:?}"),
         }
     }
     assert_eq!(
@@ -265,7 +262,8 @@
     for port in 30_001..=30_003 {
         let tuple = tuple(port);
         let mut shard = state.shard(tuple.flow_id());
-        state.open(&mut shard, start, tuple, false, ());
+        let opening = Opening::new(&Segment::opening(tuple), Name::default());
+        state.open(&mut shard, start, opening, ());
         shard.mark_established(tuple.flow_id());
     }
     hear(&state, start, 2, AgentMessageBody::Load(load(0, true)));
--- a/crates/plantainquay_net/src/agent/flows.rs
+++ b/crates/plantainquay_net/src/agent/flows.rs
@@ -5,9 +5,9 @@
 
 use log::Level;
 use parking_lot::MutexGuard;
-use plantainquay_core::agent::Shard;
-use plantainquay_core::{FiveTuple, Segment, Timestamp};
-use plantainquay_schema::{FlowId, ListenerMode, Name};
+use plantainquay_core::agent::{Opening, Shard};
+use plantainquay_core::{FiveTuple, Timestamp};
+use plantainquay_schema::{FlowId, ListenerMode};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -22,7 +22,6 @@
     readable: Arc<Notify>,
     writable: Arc<Notify>,
     opened: Timestamp,
-    member: Name,
     /// Moment for which the shard's timer is set.
     due: Option<Timestamp>,
 }
@@ -36,23 +35,19 @@
         self: &Arc<Self>,
         mut shard: MutexGuard<'_, Shard<Flow>>,
         now: Timestamp,
-        segment: &Segment,
+        opening: Opening,
         packet: &[u8],
     ) {
-        let tuple = segment.tuple;
-        let flow = tuple.flow_id();
+        let flow = opening.tuple.flow_id();
         let seed = flow.0 ^ now.0 ^ self.state.config().incarnation.0;
         let endpoint = Flow {
-            endpoint: TcpEndpoint::listen(&tuple, seed, now),
+            endpoint: TcpEndpoint::listen(&opening.tuple, seed, now),
             readable: Arc::default(),
             writable: Arc::default(),
             opened: now,
-            member: self.gate.member_of(tuple.source.ip()),
             due: None,
         };
-        let news = self
-            .state
-            .open(&mut shard, now, tuple, segment.has_timestamp, endpoint);
+        let news = self.state.open(&mut shard, now, opening, endpoint);
         self.send_outbox(news);
         self.deliver(shard, now, flow, packet);
     }
@@ -120,12 +115,13 @@
     }
 
     fn end(&self, shard: &mut Shard<Flow>, now: Timestamp, flow: FlowId) {
-        let (payload, news) = self.state.close(shard, flow);
-        if let Some(payload) = payload {
+        let (held, news) = self.state.close(shard, flow);
+        if let Some(held) = held {
+            let payload = held.payload;
             payload.readable.notify_one();
             payload.writable.notify_one();
             let seconds = now.since(payload.opened).as_secs_f64();
-            let member = payload.member.to_string();
+            let member = held.member.to_string();
             metrics::histogram!("plantainquay_flow_seconds", "member" => member).record(seconds);
         }
         self.send_outbox(news);
--- a/crates/plantainquay_net/src/agent/requests.rs
+++ b/crates/plantainquay_net/src/agent/requests.rs
@@ -138,15 +138,6 @@
         (slots.queue.running(), slots.queue.waiting())
     }
 
-    /// The member that a caller belongs to; an empty name for none.
-    pub(crate) fn member_of(&self, caller: IpAddr) -> Name {
-        let view = self.view.read();
-        let member = view
-            .as_ref()
-            .and_then(|view| view.document.member_of(caller));
-        member.cloned().unwrap_or_default()
-    }
-
     /// Class, member and upstream of a request for `path` that came from `local`.
     fn routed(&self, local: SocketAddr, path: &str) -> Option<Routed> {
         let view = self.view.read().clone()?;
--- a/crates/plantainquay_net/src/agent/runtime.rs
+++ b/crates/plantainquay_net/src/agent/runtime.rs
@@ -203,9 +203,9 @@
                 count(&self.counters.delivered);
                 self.deliver(shard, now, flow, packet);
             }
-            Verdict::Open => {
+            Verdict::Open(opening) => {
                 count(&self.counters.opened);
-                self.open(shard, now, &segment, packet);
+                self.open(shard, now, opening, packet);
             }
             Verdict::PassOn { to, header, .. } => {
                 drop(shard);
--- a/crates/plantainquay_trace/src/policy.rs
+++ b/crates/plantainquay_trace/src/policy.rs
@@ -2,10 +2,10 @@
 
 use std::fmt;
 
-use plantainquay_core::agent::{AgentState, DropReason, ResetReason, Shard, Verdict};
+use plantainquay_core::agent::{AgentState, DropReason, Opening, ResetReason, Shard, Verdict};
 use plantainquay_core::balancer::{self, Forward};
 use plantainquay_core::{RouteMap, Segment, Timestamp, agent};
-use plantainquay_schema::{TunnelHeader, UpstreamNumber, UpstreamState};
+use plantainquay_schema::{Name, TunnelHeader, UpstreamNumber, UpstreamState};
 
 use crate::processes::FlowCache;
 
@@ -117,7 +117,7 @@
     {
         Verdict::Deliver
     } else if segment.opening {
-        Verdict::Open
+        Verdict::Open(Opening::new(segment, Name::default()))
     } else {
         Verdict::Reset(ResetReason::UnknownFlow)
     }
--- a/crates/plantainquay_trace/src/world/packets.rs
+++ b/crates/plantainquay_trace/src/world/packets.rs
@@ -115,14 +115,14 @@
         let mut shard = state.shard(segment.tuple.flow_id());
         let verdict = (self.policy.on_packet)(state, &mut shard, now, header, segment);
         let mut news = Outbox::new();
-        if verdict == Verdict::Open {
-            news = state.open(&mut shard, now, segment.tuple, segment.has_timestamp, ());
+        if let Verdict::Open(opening) = &verdict {
+            news = state.open(&mut shard, now, opening.clone(), ());
             shard.mark_established(segment.tuple.flow_id());
         }
         drop(shard);
         self.send_messages(&at, news);
         match verdict {
-            Verdict::Open => self.opened(flow, way, at),
+            Verdict::Open(_) => self.opened(flow, way, at),
             Verdict::Deliver => self.delivered(flow, way, &at),
             Verdict::PassOn { to, header, .. } => {
                 self.summary.passed_on += 1;
--- a/examples/placement/model.rs
+++ b/examples/placement/model.rs
@@ -232,8 +232,8 @@
         let flow = segment.tuple.flow_id();
         let mut shard = state.shard(flow);
         match on_packet(state, &mut shard, self.now, header, segment) {
-            Verdict::Open => {
-                let news = state.open(&mut shard, self.now, segment.tuple, true, ());
+            Verdict::Open(opening) => {
+                let news = state.open(&mut shard, self.now, opening, ());
                 shard.mark_established(flow);
                 drop(shard);
                 self.opened += 1;
--- a/examples/slopes/measure.rs
+++ b/examples/slopes/measure.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
-use plantainquay_core::agent::{AgentConfig, AgentState, on_packet, on_tick};
+use plantainquay_core::agent::{AgentConfig, AgentState, Verdict, on_packet, on_tick};
 use plantainquay_core::{FiveTuple, RouteMap, Segment, Timestamp, balancer};
 use plantainquay_net::{Sealer, TcpEndpoint};
 use plantainquay_schema::{
@@ -99,8 +99,9 @@
         let segment = Segment::opening(tuple(i, destination)).with_tag(None);
         let flow = segment.tuple.flow_id();
         let mut shard = state.shard(flow);
-        black_box(on_packet(&state, &mut shard, now, &header, &segment));
-        state.open(&mut shard, now, segment.tuple, true, ());
+        if let Verdict::Open(opening) = on_packet(&state, &mut shard, now, &header, &segment) {
+            state.open(&mut shard, now, opening, ());
+        }
         shard.mark_established(flow);
     }
     report.add(
