End the status endpoint within two seconds; drop reasons that nobody gives

Cause: a daemon that had drained still waited up to 30 s for readers of its status page; two reasons for refusals were never used. Found by reading.

Ruled out: the same for the request service, whose long work must not be cut.

--- a/crates/plantainquay_core/src/requests/outcome.rs
+++ b/crates/plantainquay_core/src/requests/outcome.rs
@@ -31,18 +31,12 @@
     /// The member's share of a limit is in use.
     #[error("limit_reached")]
     LimitReached,
-    /// The agent is leaving.
-    #[error("leaving")]
-    Leaving,
     /// No connection to the upstream came about.
     #[error("no_connection")]
     NoConnection,
     /// The upstream refused it.
     #[error("upstream_refused")]
     UpstreamRefused,
-    /// The body is larger than is taken.
-    #[error("body_too_large")]
-    BodyTooLarge,
 }
 
 /// Why it is not known whether a request ran.
--- a/crates/plantainquay_net/src/http.rs
+++ b/crates/plantainquay_net/src/http.rs
@@ -6,9 +6,13 @@
 use std::sync::Arc;
 
 use metrics_exporter_prometheus::PrometheusHandle;
+use ntex::time::Seconds;
 use ntex::web::{self, App, HttpResponse, HttpServer};
 use plantainquay_schema::wire::status::Status;
 
+/// Longest wait for readers of the endpoint when the daemon ends.
+const SHUTDOWN_TIMEOUT: Seconds = Seconds(2);
+
 /// Where the endpoint gets a daemon's state from.
 pub type StatusSource = Box<dyn Fn() -> Status + Send + Sync>;
 
@@ -41,7 +45,11 @@
             .state(Arc::clone(&state))
             .service((metrics, healthz, readyz, status_json))
     });
-    let server = server.workers(1).disable_signals().bind(address)?;
+    let server = server
+        .workers(1)
+        .shutdown_timeout(SHUTDOWN_TIMEOUT)
+        .disable_signals()
+        .bind(address)?;
     Ok(server.run())
 }
 
