--- a/crates/plantainquay_net/src/seal.rs
+++ b/crates/plantainquay_net/src/seal.rs
@@ -158,7 +158,8 @@
         buf.extend_from_slice(&[0; TAG_END - TAG_START]);
         let header_bytes = u16::try_from(header.encoded_len()).unwrap_or(u16::MAX);
         buf.extend_from_slice(&header_bytes.to_be_bytes());
-        buf.extend_from_slice(&header.encode_to_vec());
+        let encoded = header.encode(buf);
+        debug_assert!(encoded.is_ok(), "a vector has room for any header");
         buf.extend_from_slice(payload);
         let tag = tag(key, buf);
         buf[TAG_START..TAG_END].copy_from_slice(&tag);
