Relay: schema and decisions for packets that are passed on unread

Cause: on the users' platform flows end at the upstream itself, and the own interface's decisions end them at the agent.

Ruled out: ending TCP at the agent (the bytes of a flow may not be read), and a table alone (an upstream returns what it doesn't hold, so its word is both simpler and truer than any table).

Change: the schema gains relay messages, routes and upstreams with their own revisions, and settings. The core gains the fleet (membership apart from the document), views, and the decisions of balancers and agents: opening packets are placed by comparing live loads, unknown flows are tried, then looked for, and reset only when every upstream denies them.

--- a/crates/plantainquay_core/src/lib.rs
+++ b/crates/plantainquay_core/src/lib.rs
@@ -8,6 +8,9 @@
 //! packet is handed to; that agent calls [`agent::on_packet`], which delivers the packet to a
 //! flow, opens one, passes the packet on to a sibling, or refuses it.
 //!
+//! [`relay`] holds the same decisions for front ends that pass packets on unread, where flows end
+//! at the upstream itself.
+//!
 //! ```
 //! use plantainquay_core::{RouteMap, balancer};
 //! use plantainquay_core::{FiveTuple, Segment};
@@ -21,9 +24,11 @@
 pub mod agent;
 pub mod balancer;
 mod documents;
+mod fleet;
 pub mod gossip;
 pub mod limits;
 mod packet;
+pub mod relay;
 mod rendezvous;
 pub mod requests;
 mod routes;
@@ -31,7 +36,9 @@
 mod time;
 
 pub use documents::{Documents, Offer};
-pub use packet::{FiveTuple, Segment};
+pub use fleet::{Applied, Fleet, Known};
+pub use packet::Segment;
+pub use plantainquay_schema::FiveTuple;
 pub use routes::{RouteMap, ServiceRoute};
 pub use table::{BucketTable, moved_share};
 pub use time::Timestamp;
--- /dev/null
+++ b/crates/plantainquay_core/src/relay/agent/lookup.rs
@@ -0,0 +1,213 @@
+//! Flows that this agent doesn't know: who holds them?
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use plantainquay_schema::{EstablishedPacket, FiveTuple, RelayBody};
+use smallvec::SmallVec;
+
+use super::flow::{Flow, FlowShard, FlowState, Lookup, Trial, Waiting, established};
+use super::{Action, Context};
+use crate::relay::{Candidate, CandidateState, DropReason, Packet};
+
+/// Time without a returned packet after which the upstream is taken to hold a tried flow.
+///
+/// It returns packets of other flows at once; the rest is the time that a busy agent takes to
+/// read its sockets.
+pub(super) const TRIAL_TIME: Duration = Duration::from_millis(60);
+/// Time after which the other agents are asked again for a flow whose caller still sends.
+const ASK_INTERVAL: Duration = Duration::from_millis(150);
+/// Time for which agents that the store no longer names may claim a flow.
+pub(super) const FORMER_TIME: Duration = Duration::from_millis(300);
+
+/// A packet of a flow that `from` looks for.
+pub(super) fn on_probe(
+    cx: &mut Context<'_>,
+    from: SocketAddr,
+    probe: EstablishedPacket,
+    packet: &Packet,
+) {
+    let flow = packet.tuple.flow_id();
+    let mut shard = cx.agent.shard(flow);
+    if let Some(known) = shard.get_mut(flow, &packet.tuple) {
+        match known.state {
+            FlowState::Accepted | FlowState::Open => {
+                cx.announce(packet.tuple, from);
+                cx.announce(packet.tuple, probe.balancer);
+                known.balancer = Some(probe.balancer);
+                return super::established::deliver(cx, known, probe, packet);
+            }
+            // The caller goes on with another upstream, which has answered its opening earlier.
+            FlowState::Offered(_) => return cx.send(from, RelayBody::NotHeld(packet.tuple)),
+            _ => {}
+        }
+    }
+    let state = FlowState::Tried(Trial::new(cx.now, Some(from)));
+    shard.due.push(cx.now + TRIAL_TIME, flow);
+    if let Some(known) = shard.insert(cx.now, packet.tuple, state) {
+        super::established::try_upstream(cx, known, probe, packet);
+    }
+}
+
+/// The upstream has returned a packet of a flow that it was tried with.
+pub(super) fn on_trial_returned(cx: &mut Context<'_>, known: &mut Flow, bytes: Bytes) {
+    let FlowState::Tried(trial) = &mut known.state else {
+        return;
+    };
+    if let Some(asker) = trial.asker {
+        let tuple = known.tuple;
+        // The asker remembers where the flow is; here it stays unknown.
+        known.state = FlowState::Elsewhere(asker);
+        return cx.send(asker, RelayBody::NotHeld(tuple));
+    }
+    let waiting = std::mem::take(&mut trial.waiting);
+    ask(cx, known, bytes, waiting);
+}
+
+/// Asks every other agent of the service for a flow, with one of its packets.
+pub(super) fn ask(cx: &mut Context<'_>, known: &mut Flow, bytes: Bytes, waiting: Waiting) {
+    let Some(balancer) = known.balancer else {
+        return cx.actions.push(Action::Drop(DropReason::UnknownFlow));
+    };
+    cx.count(|c| c.lookups += 1);
+    send_probes(cx, &established(bytes, balancer));
+    known.state = FlowState::Asked(Box::new(Lookup {
+        since: cx.now,
+        asked: cx.now,
+        denied: SmallVec::new(),
+        waiting,
+    }));
+    conclude(cx, known);
+}
+
+/// Asks again when the last question is a while ago.
+pub(super) fn ask_again(cx: &mut Context<'_>, known: &mut Flow) {
+    let FlowState::Asked(lookup) = &mut known.state else {
+        return;
+    };
+    known.last_packet = cx.now;
+    if cx.now.since(lookup.asked) < ASK_INTERVAL {
+        return;
+    }
+    lookup.asked = cx.now;
+    if let Some(probe) = lookup.waiting.pop() {
+        send_probes(cx, &probe);
+    }
+}
+
+fn send_probes(cx: &mut Context<'_>, probe: &EstablishedPacket) {
+    let own = cx.own();
+    let others: SmallVec<[SocketAddr; 16]> = cx
+        .candidates()
+        .into_iter()
+        .flat_map(|candidates| candidates.all())
+        .map(|candidate| candidate.agent)
+        .filter(|agent| *agent != own)
+        .collect();
+    for agent in others {
+        cx.send(agent, RelayBody::Probe(probe.clone()));
+    }
+}
+
+pub(super) fn on_located(cx: &mut Context<'_>, from: SocketAddr, tuple: FiveTuple) {
+    let flow = tuple.flow_id();
+    let mut shard = cx.agent.shard(flow);
+    let Some(known) = shard.get_mut(flow, &tuple) else {
+        shard.insert(cx.now, tuple, FlowState::Elsewhere(from));
+        return;
+    };
+    if known.is_counted() {
+        return;
+    }
+    known.last_packet = cx.now;
+    let state = std::mem::replace(&mut known.state, FlowState::Elsewhere(from));
+    let waiting = match state {
+        FlowState::Asked(lookup) => {
+            cx.count(|c| c.found += 1);
+            lookup.waiting
+        }
+        FlowState::Tried(trial) => trial.waiting,
+        FlowState::Offered(offered) => {
+            // Two upstreams have the opening packet; the caller decides.
+            known.state = FlowState::Offered(offered);
+            return;
+        }
+        _ => return,
+    };
+    for packet in waiting {
+        super::established::pass_on(cx, from, packet);
+    }
+}
+
+pub(super) fn on_not_held(cx: &mut Context<'_>, from: SocketAddr, tuple: FiveTuple) {
+    let flow = tuple.flow_id();
+    let mut shard = cx.agent.shard(flow);
+    let Some(known) = shard.get_mut(flow, &tuple) else {
+        return;
+    };
+    match &mut known.state {
+        FlowState::Asked(lookup) => {
+            if !lookup.denied.contains(&from) {
+                lookup.denied.push(from);
+            }
+            conclude(cx, known);
+        }
+        FlowState::Elsewhere(holder) if *holder == from => known.state = FlowState::Closing,
+        _ => {}
+    }
+}
+
+/// Ends the lookup when every upstream has denied the flow.
+fn conclude(cx: &mut Context<'_>, known: &mut Flow) {
+    let FlowState::Asked(lookup) = &known.state else {
+        return;
+    };
+    let own = cx.own();
+    let may_be_former = cx.now.since(lookup.since) < FORMER_TIME;
+    let Some(candidates) = cx.candidates() else {
+        return;
+    };
+    let is_open_question = |candidate: &Candidate| {
+        let counts = candidate.state != CandidateState::Former || may_be_former;
+        counts && candidate.agent != own && !lookup.denied.contains(&candidate.agent)
+    };
+    if candidates.all().any(is_open_question) {
+        return;
+    }
+    let tuple = known.tuple;
+    known.state = FlowState::Lost;
+    cx.count(|c| c.lost += 1);
+    if let Some(balancer) = known.balancer {
+        cx.send(balancer, RelayBody::Lost(tuple));
+    }
+}
+
+/// Ends trials that were not returned, and lookups that only former upstreams leave open.
+pub(super) fn on_tick(cx: &mut Context<'_>, shard: &mut FlowShard) {
+    while let Some(known) = shard.next_due(cx.now) {
+        match &mut known.state {
+            FlowState::Tried(trial) if cx.now.since(trial.since) >= TRIAL_TIME => {
+                hold_tried(cx, known);
+            }
+            FlowState::Asked(_) => conclude(cx, known),
+            _ => {}
+        }
+    }
+}
+
+/// Takes the upstream to hold a flow that it was tried with.
+pub(super) fn hold_tried(cx: &mut Context<'_>, known: &mut Flow) {
+    let FlowState::Tried(trial) = &mut known.state else {
+        return;
+    };
+    let told = [known.balancer, trial.asker];
+    let waiting = std::mem::take(&mut trial.waiting);
+    cx.with_meter(|meter| known.open(FlowState::Open, meter));
+    for process in told.into_iter().flatten() {
+        cx.announce(known.tuple, process);
+    }
+    for packet in waiting {
+        cx.actions.push(Action::ToUpstream(packet.packet));
+    }
+}
--- /dev/null
+++ b/crates/plantainquay_core/src/relay/agent/opening.rs
@@ -0,0 +1,153 @@
+//! Opening packets: which upstream takes a new flow.
+
+use std::net::SocketAddr;
+
+use plantainquay_schema::{Bid, OpeningPacket, RelayBody};
+
+use super::flow::FlowState;
+use super::{Action, Context};
+use crate::relay::{CandidateState, Packet};
+
+/// Agents that compare their loads for one new flow.
+const COMPARED: usize = 2;
+/// Agents that an opening packet visits at most, counting those whose upstreams returned it.
+const MAX_VISITS: usize = 5;
+/// Advantage that another agent must have, in thousandths of a request for each slot.
+///
+/// Loads closer than this are the same for a caller, and the detour costs time.
+const MARGIN: u32 = 20;
+
+/// Load of an upstream that takes no new flow.
+const UNAVAILABLE: u32 = u32::MAX;
+
+pub(super) fn on_opening(cx: &mut Context<'_>, opening: OpeningPacket, packet: &Packet) {
+    let flow = packet.tuple.flow_id();
+    let mut shard = cx.agent.shard(flow);
+    if let Some(known) = shard.get_mut(flow, &packet.tuple) {
+        match &known.state {
+            // A copy of an opening packet goes where the first one went.
+            FlowState::Offered(_) | FlowState::Accepted | FlowState::Open => {
+                known.last_packet = cx.now;
+                if known.is_counted() {
+                    cx.announce(packet.tuple, opening.balancer);
+                }
+                cx.actions.push(Action::ToUpstream(opening.packet));
+                return;
+            }
+            FlowState::Elsewhere(holder) if !opening.chosen => {
+                let holder = *holder;
+                let chosen = true;
+                cx.send(
+                    holder,
+                    RelayBody::Opening(OpeningPacket { chosen, ..opening }),
+                );
+                return;
+            }
+            _ => {}
+        }
+    }
+    drop(shard);
+    place(cx, opening, packet);
+}
+
+/// Gives the packet to the least loaded of the agents that have seen it, or shows it to another.
+pub(super) fn place(cx: &mut Context<'_>, mut opening: OpeningPacket, packet: &Packet) {
+    let own = cx.own();
+    let load = own_load(cx);
+    if opening.chosen && load != UNAVAILABLE {
+        return offer(cx, opening, packet);
+    }
+    if !opening.visited.contains(&own) {
+        opening.visited.push(own);
+    }
+    let is_better = |bid: Bid| bid.load.saturating_add(MARGIN) < load;
+    if let Some(next) = next_visit(cx, &opening, packet) {
+        if opening.best.is_none_or(|best| load < best.load) {
+            opening.best = Some(Bid { agent: own, load });
+        }
+        opening.chosen = false;
+        cx.count(|c| c.passed_on += 1);
+        return cx.send(next, RelayBody::Opening(opening));
+    }
+    match opening.best {
+        Some(best) if best.agent != own && !opening.chosen && is_better(best) => {
+            opening.chosen = true;
+            cx.count(|c| c.passed_on += 1);
+            cx.send(best.agent, RelayBody::Opening(opening));
+        }
+        _ if load == UNAVAILABLE => {
+            cx.count(|c| c.refused += 1);
+            cx.send(opening.balancer, RelayBody::Refused(packet.tuple));
+        }
+        _ => offer(cx, opening, packet),
+    }
+}
+
+/// The next agent that is to name its load.
+fn next_visit(cx: &Context<'_>, opening: &OpeningPacket, packet: &Packet) -> Option<SocketAddr> {
+    let compared = opening.visited.len();
+    let wanted = if opening.best.is_some_and(|best| best.load == UNAVAILABLE) {
+        MAX_VISITS
+    } else {
+        COMPARED
+    };
+    if compared >= wanted {
+        return None;
+    }
+    let seed = packet.tuple.flow_id().0 ^ (compared as u64) << 56 ^ cx.now.0;
+    let next = cx
+        .candidates()?
+        .random_ready(seed, |agent| opening.visited.contains(&agent))?;
+    Some(next.agent)
+}
+
+fn offer(cx: &mut Context<'_>, opening: OpeningPacket, packet: &Packet) {
+    let flow = packet.tuple.flow_id();
+    let mut shard = cx.agent.shard(flow);
+    let bytes = opening.packet.clone();
+    let balancer = opening.balancer;
+    let state = FlowState::Offered(Box::new(opening));
+    if let Some(known) = shard.insert(cx.now, packet.tuple, state) {
+        known.balancer = Some(balancer);
+        cx.with_meter(super::LoadMeter::offered);
+    }
+    cx.count(|c| c.offered += 1);
+    cx.actions.push(Action::ToUpstream(bytes));
+}
+
+/// Passes an opening packet on that the upstream has returned.
+pub(super) fn on_returned(cx: &mut Context<'_>, mut opening: OpeningPacket, packet: &Packet) {
+    let own = cx.own();
+    cx.count(|c| c.returned_openings += 1);
+    if !opening.visited.contains(&own) {
+        opening.visited.push(own);
+    }
+    let seed = packet.tuple.flow_id().0 ^ cx.now.0;
+    let next = cx.candidates().and_then(|candidates| {
+        candidates.random_ready(seed, |agent| opening.visited.contains(&agent))
+    });
+    match next.map(|next| next.agent) {
+        Some(next) if opening.visited.len() < MAX_VISITS => {
+            opening.chosen = true;
+            cx.count(|c| c.passed_on += 1);
+            cx.send(next, RelayBody::Opening(opening));
+        }
+        _ => {
+            cx.count(|c| c.refused += 1);
+            cx.send(opening.balancer, RelayBody::Refused(packet.tuple));
+        }
+    }
+}
+
+/// Load of the upstream beside this agent, as it counts in comparisons.
+fn own_load(cx: &Context<'_>) -> u32 {
+    let own = cx.candidates().and_then(|c| c.find(cx.own()));
+    // Before the store names the upstream, a balancer's word that it is ready counts.
+    let slots = own.map_or(1, |own| own.slots);
+    if own.is_some_and(|own| own.state != CandidateState::Ready) {
+        return UNAVAILABLE;
+    }
+    let is_cold = own.is_some_and(|own| cx.now < own.warm_at);
+    let meter = cx.agent.meter.lock();
+    meter.load(cx.now, slots, is_cold)
+}
--- /dev/null
+++ b/crates/plantainquay_core/src/relay/due.rs
@@ -0,0 +1,29 @@
+//! Flows for which something is due at a known time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use plantainquay_schema::FlowId;
+
+use crate::Timestamp;
+
+/// Flows in the order of the times at which they are to be looked at.
+#[derive(Debug, Default)]
+pub(super) struct DueFlows {
+    heap: BinaryHeap<Reverse<(Timestamp, FlowId)>>,
+}
+
+impl DueFlows {
+    pub(super) fn push(&mut self, at: Timestamp, flow: FlowId) {
+        self.heap.push(Reverse((at, flow)));
+    }
+
+    /// The next flow whose time has come.
+    pub(super) fn pop(&mut self, now: Timestamp) -> Option<FlowId> {
+        let Reverse((at, _)) = self.heap.peek()?;
+        if *at > now {
+            return None;
+        }
+        self.heap.pop().map(|Reverse((_, flow))| flow)
+    }
+}
--- /dev/null
+++ b/crates/plantainquay_core/src/relay/view.rs
@@ -0,0 +1,203 @@
+//! Routes and upstreams as the packet path looks them up.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+use plantainquay_schema::{
+    FlowId, Generation, Name, Route, ServiceId, UpstreamEntry, WeightedService,
+};
+use smallvec::SmallVec;
+
+use crate::rendezvous::{mix, weighted};
+use crate::{Fleet, Known, Timestamp};
+
+/// Separates the choice of a service from the choice of an upstream.
+const SERVICE_SEED: u64 = 0x5e_ed0f_5e21_71ce;
+
+/// Routes and upstreams; immutable once built.
+#[derive(Clone, Debug, Default)]
+pub struct RelayView {
+    generation: Generation,
+    routes: Arc<HashMap<SocketAddr, Route>>,
+    services: HashMap<ServiceId, ServiceCandidates>,
+}
+
+/// Upstreams of one service.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceCandidates {
+    candidates: Vec<Candidate>,
+}
+
+/// One upstream, named by the agent beside it.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// The agent.
+    pub agent: SocketAddr,
+    /// Data centre of both.
+    pub data_centre: Name,
+    /// Requests that the upstream processes at the same time.
+    pub slots: u32,
+    /// Moment until which it is slow after its start.
+    pub warm_at: Timestamp,
+    /// What it may be used for.
+    pub state: CandidateState,
+    hash: u64,
+}
+
+/// What an upstream may be used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CandidateState {
+    /// New flows and open ones.
+    Ready,
+    /// Open flows, and new ones where nobody else takes them.
+    Draining,
+    /// Gone from the store; it may still hold open flows.
+    Former,
+}
+
+impl RelayView {
+    /// The view of what a process knows now; `previous` lends what has not changed.
+    #[must_use]
+    pub fn build(fleet: &Fleet, now: Timestamp, peer_port: u16, previous: &Self) -> Self {
+        let document = fleet.routes();
+        let routes = if document.generation == previous.generation {
+            Arc::clone(&previous.routes)
+        } else {
+            let routes = document.routes.iter();
+            Arc::new(routes.map(|r| (r.listener.into(), r.clone())).collect())
+        };
+        let mut services: HashMap<ServiceId, ServiceCandidates> = HashMap::new();
+        let mut add = |known: &Known, is_former: bool| {
+            let candidate = Candidate::new(known, peer_port, is_former);
+            let id = ServiceId::of(known.entry.service.as_str());
+            services.entry(id).or_default().add(candidate);
+        };
+        fleet.current(now).for_each(|known| add(known, false));
+        fleet.former(now).for_each(|known| add(known, true));
+        Self {
+            generation: document.generation,
+            routes,
+            services,
+        }
+    }
+
+    /// Generation of the routes; zero before there are any.
+    #[must_use]
+    pub fn generation(&self) -> Generation {
+        self.generation
+    }
+
+    /// The route of an address and port; there is no default.
+    #[must_use]
+    pub fn route(&self, listener: SocketAddr) -> Option<&Route> {
+        self.routes.get(&listener)
+    }
+
+    /// Upstreams of a service.
+    #[must_use]
+    pub fn service(&self, id: ServiceId) -> Option<&ServiceCandidates> {
+        self.services.get(&id)
+    }
+
+    /// The service that a new flow of the route goes to, the same in every process.
+    #[must_use]
+    pub fn choose_service(route: &Route, flow: FlowId) -> Option<&WeightedService> {
+        let weighed = route.services.iter().filter(|s| s.weight > 0);
+        weighed.min_by_key(|s| weighted(mix(flow.0 ^ mix(s.id.0 ^ SERVICE_SEED)), s.weight))
+    }
+}
+
+impl ServiceCandidates {
+    /// The agent that every process asks first for a flow that it doesn't know.
+    #[must_use]
+    pub fn owner(&self, flow: FlowId) -> Option<&Candidate> {
+        let listed = self.listed();
+        listed
+            .min_by_key(|c| c.score(flow))
+            .or_else(|| self.candidates.first())
+    }
+
+    /// The agent where an opening packet begins: the first of the flow's ranking that is `usable`.
+    ///
+    /// When no ready upstream is usable, any ready one serves.
+    pub fn entry(&self, flow: FlowId, usable: impl Fn(&Candidate) -> bool) -> Option<&Candidate> {
+        let ready = || self.ready();
+        let best = ready().filter(|c| usable(c)).min_by_key(|c| c.score(flow));
+        best.or_else(|| ready().min_by_key(|c| c.score(flow)))
+    }
+
+    /// Upstreams that take new flows.
+    pub fn ready(&self) -> impl Iterator<Item = &Candidate> {
+        self.candidates
+            .iter()
+            .filter(|c| c.state == CandidateState::Ready)
+    }
+
+    /// Upstreams that the store names.
+    pub fn listed(&self) -> impl Iterator<Item = &Candidate> {
+        self.candidates
+            .iter()
+            .filter(|c| c.state != CandidateState::Former)
+    }
+
+    /// Every upstream that may hold a flow.
+    pub fn all(&self) -> impl Iterator<Item = &Candidate> {
+        self.candidates.iter()
+    }
+
+    /// The upstream beside an agent.
+    #[must_use]
+    pub fn find(&self, agent: SocketAddr) -> Option<&Candidate> {
+        self.candidates.iter().find(|c| c.agent == agent)
+    }
+
+    /// A random ready upstream whose agent is not `excluded`.
+    pub fn random_ready(
+        &self,
+        seed: u64,
+        excluded: impl Fn(SocketAddr) -> bool,
+    ) -> Option<&Candidate> {
+        let eligible: SmallVec<[&Candidate; 16]> =
+            self.ready().filter(|c| !excluded(c.agent)).collect();
+        let index = usize::try_from(mix(seed) >> 32).unwrap_or(0);
+        let index = index.checked_rem(eligible.len())?;
+        eligible.get(index).copied()
+    }
+
+    /// Adds a candidate; of two with the same address, the one that is of more use stays.
+    fn add(&mut self, candidate: Candidate) {
+        let same = self
+            .candidates
+            .iter_mut()
+            .find(|c| c.agent == candidate.agent);
+        match same {
+            Some(same) if candidate.state < same.state => *same = candidate,
+            Some(_) => {}
+            None => self.candidates.push(candidate),
+        }
+    }
+}
+
+impl Candidate {
+    fn new(known: &Known, peer_port: u16, is_former: bool) -> Self {
+        let entry: &UpstreamEntry = &known.entry;
+        let state = match (is_former, entry.draining) {
+            (true, _) => CandidateState::Former,
+            (false, true) => CandidateState::Draining,
+            (false, false) => CandidateState::Ready,
+        };
+        Self {
+            agent: SocketAddr::new(IpAddr::V4(entry.ip), peer_port),
+            data_centre: entry.data_centre.clone(),
+            slots: entry.slots,
+            warm_at: known.warm_at,
+            state,
+            hash: mix(u64::from(entry.ip.to_bits())),
+        }
+    }
+
+    fn score(&self, flow: FlowId) -> u64 {
+        weighted(mix(flow.0 ^ self.hash), self.slots)
+    }
+}
--- a/crates/plantainquay_core/src/rendezvous.rs
+++ b/crates/plantainquay_core/src/rendezvous.rs
@@ -21,7 +21,11 @@
 /// `seed` separates services, `weight` must be at least 1.
 pub(crate) fn score(seed: u64, bucket: u32, number: UpstreamNumber, weight: u32) -> u64 {
     let key = (u64::from(bucket) << 16) | u64::from(number.get());
-    let hash = mix(seed ^ mix(key));
+    weighted(mix(seed ^ mix(key)), weight)
+}
+
+/// Score of a candidate whose hash with the key is `hash`; the lowest one wins.
+pub(crate) fn weighted(hash: u64, weight: u32) -> u64 {
     (neg_log2(hash) << SCORE_SHIFT) / u64::from(weight.max(1))
 }
 
@@ -38,7 +42,7 @@
 }
 
 /// Finaliser of the `SplitMix64` generator.
-fn mix(value: u64) -> u64 {
+pub(crate) fn mix(value: u64) -> u64 {
     let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- /dev/null
+++ b/crates/plantainquay_schema/src/fleet.rs
@@ -0,0 +1,246 @@
+//! Routes and upstreams as the relay knows them, apart from the operators' document.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::{Fault, Faults, Generation, Incarnation, Name, ServiceId, wire};
+
+/// Routes of one generation.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RouteDocument {
+    /// Generation; only ever rises.
+    pub generation: Generation,
+    /// Routes, one for each address and port.
+    pub routes: Vec<Route>,
+}
+
+/// One address and port with the services behind it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Where callers send their packets.
+    pub listener: SocketAddrV4,
+    /// Services with their weights; never empty, and at least one weight is above zero.
+    pub services: SmallVec<[WeightedService; 1]>,
+    /// Whether requests of this route may be repeated.
+    pub idempotent: bool,
+}
+
+/// A service with its share of a route's new flows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WeightedService {
+    /// The service.
+    pub id: ServiceId,
+    /// Its name.
+    pub name: Name,
+    /// Share of new flows, relative to the route's other services.
+    pub weight: u32,
+}
+
+/// One upstream that takes, or took, flows of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamEntry {
+    /// Identifies one life of the upstream within the store.
+    pub id: Name,
+    /// Service that it belongs to.
+    pub service: Name,
+    /// Address of the instance that it runs on, and of the agent beside it.
+    pub ip: Ipv4Addr,
+    /// Data centre of the instance.
+    pub data_centre: Name,
+    /// Requests that it processes at the same time.
+    pub slots: u32,
+    /// Whether it takes no new flows.
+    pub draining: bool,
+    /// Tells restarts under the same identifier apart: the Unix millisecond of the start.
+    pub incarnation: Incarnation,
+    /// Time for which it stayed slow when the entry was written.
+    pub warm_up: Duration,
+    /// Revision of the store at which the entry was written.
+    pub revision: u64,
+}
+
+/// An entry that was removed from the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Departure {
+    /// The entry's identifier.
+    pub id: Name,
+    /// Revision of the store at which it was removed.
+    pub revision: u64,
+}
+
+/// What is new since the revisions that a process asked with.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Time since the sender last confirmed its state with the store; none when it never has.
+    pub age: Option<Duration>,
+    /// Revision of the store up to which the membership is complete.
+    pub revision: u64,
+    /// Routes, when they are newer than the asker's.
+    pub routes: Option<RouteDocument>,
+    /// Whether `upstreams` names every upstream.
+    pub whole: bool,
+    /// Entries that were written.
+    pub upstreams: Vec<UpstreamEntry>,
+    /// Entries that were removed.
+    pub departures: Vec<Departure>,
+}
+
+impl Route {
+    /// Checks that the weights choose a service.
+    #[must_use]
+    pub fn has_target(&self) -> bool {
+        self.services.iter().any(|service| service.weight > 0)
+    }
+}
+
+impl WeightedService {
+    /// A service by name, with its share.
+    #[must_use]
+    pub fn new(name: &str, weight: u32) -> Self {
+        Self {
+            id: ServiceId::of(name),
+            name: name.into(),
+            weight,
+        }
+    }
+}
+
+impl From<&RouteDocument> for wire::fleet::RouteDocument {
+    fn from(document: &RouteDocument) -> Self {
+        Self {
+            generation: document.generation.0,
+            routes: document.routes.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<&Route> for wire::fleet::Route {
+    fn from(route: &Route) -> Self {
+        let services = route.services.iter().map(|s| wire::fleet::WeightedService {
+            name: s.name.to_string(),
+            weight: s.weight,
+        });
+        Self {
+            ip: route.listener.ip().to_bits(),
+            port: route.listener.port().into(),
+            services: services.collect(),
+            idempotent: route.idempotent,
+        }
+    }
+}
+
+impl TryFrom<wire::fleet::RouteDocument> for RouteDocument {
+    type Error = Faults;
+
+    fn try_from(document: wire::fleet::RouteDocument) -> Result<Self, Faults> {
+        let routes = document.routes.into_iter().map(Route::try_from);
+        Ok(Self {
+            generation: Generation(document.generation),
+            routes: routes.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl TryFrom<wire::fleet::Route> for Route {
+    type Error = Faults;
+
+    fn try_from(route: wire::fleet::Route) -> Result<Self, Faults> {
+        let port = u16::try_from(route.port).map_err(|_e| fault("port", "is out of range"))?;
+        let services = route.services.iter();
+        let route = Self {
+            listener: SocketAddrV4::new(Ipv4Addr::from_bits(route.ip), port),
+            services: services
+                .map(|s| WeightedService::new(&s.name, s.weight))
+                .collect(),
+            idempotent: route.idempotent,
+        };
+        if route.has_target() {
+            Ok(route)
+        } else {
+            Err(fault("services", "no service has a weight above zero"))
+        }
+    }
+}
+
+fn fault(path: &str, reason: &str) -> Faults {
+    Faults::from(Fault {
+        path: path.to_owned(),
+        reason: reason.to_owned(),
+    })
+}
+
+impl From<&UpstreamEntry> for wire::fleet::UpstreamEntry {
+    fn from(entry: &UpstreamEntry) -> Self {
+        Self {
+            id: entry.id.to_string(),
+            service: entry.service.to_string(),
+            ip: entry.ip.to_bits(),
+            data_centre: entry.data_centre.to_string(),
+            slots: entry.slots,
+            draining: entry.draining,
+            started_unix_ms: entry.incarnation.0,
+            warm_up_ms: millis(entry.warm_up),
+            revision: entry.revision,
+        }
+    }
+}
+
+impl From<wire::fleet::UpstreamEntry> for UpstreamEntry {
+    fn from(entry: wire::fleet::UpstreamEntry) -> Self {
+        Self {
+            id: entry.id.as_str().into(),
+            service: entry.service.as_str().into(),
+            ip: Ipv4Addr::from_bits(entry.ip),
+            data_centre: entry.data_centre.as_str().into(),
+            slots: entry.slots.max(1),
+            draining: entry.draining,
+            incarnation: Incarnation(entry.started_unix_ms),
+            warm_up: Duration::from_millis(entry.warm_up_ms),
+            revision: entry.revision,
+        }
+    }
+}
+
+impl From<&Changes> for wire::fleet::Changes {
+    fn from(changes: &Changes) -> Self {
+        let departures = changes.departures.iter().map(|d| wire::fleet::Departure {
+            id: d.id.to_string(),
+            revision: d.revision,
+        });
+        Self {
+            age_ms: changes
+                .age
+                .map(|age| u32::try_from(millis(age)).unwrap_or(u32::MAX)),
+            revision: changes.revision,
+            routes: changes.routes.as_ref().map(Into::into),
+            whole: changes.whole,
+            upstreams: changes.upstreams.iter().map(Into::into).collect(),
+            departures: departures.collect(),
+        }
+    }
+}
+
+impl TryFrom<wire::fleet::Changes> for Changes {
+    type Error = Faults;
+
+    fn try_from(changes: wire::fleet::Changes) -> Result<Self, Faults> {
+        let departures = changes.departures.into_iter().map(|d| Departure {
+            id: d.id.as_str().into(),
+            revision: d.revision,
+        });
+        Ok(Self {
+            age: changes.age_ms.map(|age| Duration::from_millis(age.into())),
+            revision: changes.revision,
+            routes: changes.routes.map(TryInto::try_into).transpose()?,
+            whole: changes.whole,
+            upstreams: changes.upstreams.into_iter().map(Into::into).collect(),
+            departures: departures.collect(),
+        })
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/plantainquay_schema/src/lib.rs
+++ b/crates/plantainquay_schema/src/lib.rs
@@ -14,10 +14,14 @@
 mod agent_message;
 mod document;
 mod fault;
+mod five_tuple;
+mod fleet;
 mod ids;
 mod in_force;
 mod instances;
 mod name;
+mod relay;
+mod relay_settings;
 mod settings;
 mod tunnel;
 pub mod wire;
@@ -29,9 +33,15 @@
     UpstreamState, WorkClass,
 };
 pub use fault::{Fault, Faults};
+pub use five_tuple::FiveTuple;
+pub use fleet::{Changes, Departure, Route, RouteDocument, UpstreamEntry, WeightedService};
 pub use ids::{DocumentVersion, FlowId, Generation, Incarnation, ServiceId, UpstreamNumber};
 pub use in_force::InForce;
 pub use instances::{Instance, instances_from};
 pub use name::Name;
+pub use relay::{
+    Bid, EstablishedPacket, OpeningPacket, RelayBody, RelayError, RelayMessage, Visited,
+};
+pub use relay_settings::{RelayAgentSettings, RelayRole, RelaySettings};
 pub use settings::{AgentSettings, Key, KeyId, Platform, Role, Settings};
 pub use tunnel::{Load, TriedUpstreams, TunnelError, TunnelHeader};
--- /dev/null
+++ b/crates/plantainquay_schema/src/relay.rs
@@ -0,0 +1,274 @@
+//! Datagrams between balancers and agents that pass packets on unread.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+use bytes::Bytes;
+use prost::Message;
+use smallvec::SmallVec;
+use thiserror::Error;
+
+use crate::{FiveTuple, ServiceId, wire};
+
+/// Agents that an opening packet may visit.
+const MAX_VISITED: usize = 8;
+
+/// Agents that an opening packet has visited.
+pub type Visited = SmallVec<[SocketAddr; 4]>;
+
+/// One datagram with the service that it concerns.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayMessage {
+    /// Service whose upstreams are concerned.
+    pub service: ServiceId,
+    /// What is said.
+    pub body: RelayBody,
+}
+
+/// What a datagram says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RelayBody {
+    /// A packet that opens a flow.
+    Opening(OpeningPacket),
+    /// A packet of a flow that the receiver is expected to hold or to find.
+    Established(EstablishedPacket),
+    /// A packet whose flow the sender looks for; the receiver says when it doesn't hold it.
+    Probe(EstablishedPacket),
+    /// The sender's upstream holds the flow.
+    Located(FiveTuple),
+    /// The sender's upstream doesn't hold the flow.
+    NotHeld(FiveTuple),
+    /// Each upstream of the service has said that it doesn't hold the flow.
+    Lost(FiveTuple),
+    /// No upstream of the service takes the flow that was to be opened.
+    Refused(FiveTuple),
+}
+
+/// A packet that opens a flow, on its way to the upstream that takes it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpeningPacket {
+    /// The packet, unread.
+    pub packet: Bytes,
+    /// The balancer that took it from the caller.
+    pub balancer: SocketAddr,
+    /// Agents that have seen it.
+    pub visited: Visited,
+    /// The least loaded of them.
+    pub best: Option<Bid>,
+    /// Whether the receiver was chosen to take it.
+    pub chosen: bool,
+}
+
+/// What an agent's upstream would add to the wait of a new flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bid {
+    /// The agent.
+    pub agent: SocketAddr,
+    /// Requests ahead, in thousandths of a slot.
+    pub load: u32,
+}
+
+/// A packet of an open flow.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EstablishedPacket {
+    /// The packet, unread.
+    pub packet: Bytes,
+    /// The balancer that took it from the caller.
+    pub balancer: SocketAddr,
+    /// Agents that have passed it on.
+    pub hops: u32,
+}
+
+/// A datagram that can't be understood.
+#[derive(Debug, Error)]
+pub enum RelayError {
+    /// The datagram is no message of the schema.
+    #[error("not a message: {0}")]
+    Encoding(#[from] prost::DecodeError),
+    /// A required part is missing.
+    #[error("{0} is missing")]
+    Missing(&'static str),
+    /// A port is out of range.
+    #[error("port {0} is out of range")]
+    Port(u32),
+    /// The packet has visited more agents than any packet may.
+    #[error("{0} agents visited, more than any packet may")]
+    TooManyVisited(usize),
+    /// Only IPv4 addresses travel in these messages.
+    #[error("{0} is not an IPv4 address")]
+    Family(SocketAddr),
+}
+
+impl RelayMessage {
+    /// Encodes the message into `buf`, which is emptied first.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address is not IPv4.
+    pub fn encode_into(&self, buf: &mut Vec<u8>) -> Result<(), RelayError> {
+        buf.clear();
+        let envelope = wire::relay::Envelope::try_from(self)?;
+        buf.reserve(envelope.encoded_len());
+        envelope.encode_raw(buf);
+        Ok(())
+    }
+
+    /// Decodes a datagram; packets inside share its memory.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the datagram is no valid message.
+    pub fn decode(datagram: Bytes) -> Result<Self, RelayError> {
+        wire::relay::Envelope::decode(datagram)?.try_into()
+    }
+}
+
+impl TryFrom<&RelayMessage> for wire::relay::Envelope {
+    type Error = RelayError;
+
+    fn try_from(message: &RelayMessage) -> Result<Self, RelayError> {
+        use wire::relay::envelope::Body;
+        let body = match &message.body {
+            RelayBody::Opening(opening) => Body::Opening(opening.try_into()?),
+            RelayBody::Established(packet) => Body::Established(packet.try_into()?),
+            RelayBody::Probe(packet) => Body::Probe(packet.try_into()?),
+            RelayBody::Located(tuple) => Body::Located(tuple.try_into()?),
+            RelayBody::NotHeld(tuple) => Body::NotHeld(tuple.try_into()?),
+            RelayBody::Lost(tuple) => Body::Lost(tuple.try_into()?),
+            RelayBody::Refused(tuple) => Body::Refused(tuple.try_into()?),
+        };
+        Ok(Self {
+            service: message.service.0,
+            body: Some(body),
+        })
+    }
+}
+
+impl TryFrom<wire::relay::Envelope> for RelayMessage {
+    type Error = RelayError;
+
+    fn try_from(envelope: wire::relay::Envelope) -> Result<Self, RelayError> {
+        use wire::relay::envelope::Body;
+        let body = match envelope.body.ok_or(RelayError::Missing("body"))? {
+            Body::Opening(opening) => RelayBody::Opening(opening.try_into()?),
+            Body::Established(packet) => RelayBody::Established(packet.try_into()?),
+            Body::Probe(packet) => RelayBody::Probe(packet.try_into()?),
+            Body::Located(flow) => RelayBody::Located(flow.try_into()?),
+            Body::NotHeld(flow) => RelayBody::NotHeld(flow.try_into()?),
+            Body::Lost(flow) => RelayBody::Lost(flow.try_into()?),
+            Body::Refused(flow) => RelayBody::Refused(flow.try_into()?),
+        };
+        Ok(Self {
+            service: ServiceId(envelope.service),
+            body,
+        })
+    }
+}
+
+impl TryFrom<&OpeningPacket> for wire::relay::Opening {
+    type Error = RelayError;
+
+    fn try_from(opening: &OpeningPacket) -> Result<Self, RelayError> {
+        let visited = opening.visited.iter().map(|agent| endpoint(*agent));
+        Ok(Self {
+            packet: opening.packet.clone(),
+            balancer: Some(endpoint(opening.balancer)?),
+            visited: visited.collect::<Result<_, _>>()?,
+            best: opening.best.map(|bid| endpoint(bid.agent)).transpose()?,
+            best_load: opening.best.map_or(0, |bid| bid.load),
+            chosen: opening.chosen,
+        })
+    }
+}
+
+impl TryFrom<wire::relay::Opening> for OpeningPacket {
+    type Error = RelayError;
+
+    fn try_from(opening: wire::relay::Opening) -> Result<Self, RelayError> {
+        if opening.visited.len() > MAX_VISITED {
+            return Err(RelayError::TooManyVisited(opening.visited.len()));
+        }
+        let visited = opening.visited.into_iter().map(socket_addr);
+        let best = opening.best.map(socket_addr).transpose()?;
+        Ok(Self {
+            packet: opening.packet,
+            balancer: required(opening.balancer, "balancer")?,
+            visited: visited.collect::<Result<_, _>>()?,
+            best: best.map(|agent| Bid {
+                agent,
+                load: opening.best_load,
+            }),
+            chosen: opening.chosen,
+        })
+    }
+}
+
+impl TryFrom<&EstablishedPacket> for wire::relay::Established {
+    type Error = RelayError;
+
+    fn try_from(packet: &EstablishedPacket) -> Result<Self, RelayError> {
+        Ok(Self {
+            packet: packet.packet.clone(),
+            balancer: Some(endpoint(packet.balancer)?),
+            hops: packet.hops,
+        })
+    }
+}
+
+impl TryFrom<wire::relay::Established> for EstablishedPacket {
+    type Error = RelayError;
+
+    fn try_from(packet: wire::relay::Established) -> Result<Self, RelayError> {
+        Ok(Self {
+            packet: packet.packet,
+            balancer: required(packet.balancer, "balancer")?,
+            hops: packet.hops,
+        })
+    }
+}
+
+impl TryFrom<&FiveTuple> for wire::relay::Flow {
+    type Error = RelayError;
+
+    fn try_from(tuple: &FiveTuple) -> Result<Self, RelayError> {
+        Ok(Self {
+            caller: Some(endpoint(tuple.source)?),
+            listener: Some(endpoint(tuple.destination)?),
+        })
+    }
+}
+
+impl TryFrom<wire::relay::Flow> for FiveTuple {
+    type Error = RelayError;
+
+    fn try_from(flow: wire::relay::Flow) -> Result<Self, RelayError> {
+        Ok(Self {
+            source: required(flow.caller, "caller")?,
+            destination: required(flow.listener, "listener")?,
+        })
+    }
+}
+
+fn endpoint(address: SocketAddr) -> Result<wire::relay::Endpoint, RelayError> {
+    let SocketAddr::V4(address) = address else {
+        return Err(RelayError::Family(address));
+    };
+    Ok(wire::relay::Endpoint {
+        ip: address.ip().to_bits(),
+        port: address.port().into(),
+    })
+}
+
+fn required(
+    endpoint: Option<wire::relay::Endpoint>,
+    name: &'static str,
+) -> Result<SocketAddr, RelayError> {
+    endpoint
+        .ok_or(RelayError::Missing(name))
+        .and_then(socket_addr)
+}
+
+fn socket_addr(endpoint: wire::relay::Endpoint) -> Result<SocketAddr, RelayError> {
+    let ip = Ipv4Addr::from_bits(endpoint.ip);
+    let port = u16::try_from(endpoint.port).map_err(|_e| RelayError::Port(endpoint.port))?;
+    Ok(SocketAddrV4::new(ip, port).into())
+}
--- /dev/null
+++ b/crates/plantainquay_schema/src/relay_settings.rs
@@ -0,0 +1,158 @@
+//! Settings of a daemon of the relay.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::settings::check_address;
+use crate::{Faults, Name, ServiceId, wire, yaml};
+
+const DEFAULT_THREADS: u32 = 1;
+const MAX_THREADS: u32 = 8;
+const DEFAULT_STOP_GRACE_S: u64 = 6;
+
+/// Checked settings of one daemon of the relay.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelaySettings {
+    /// What the daemon does.
+    pub role: RelayRole,
+    /// Name of the instance.
+    pub instance: Name,
+    /// Data centre of the instance.
+    pub data_centre: Name,
+    /// Where a balancer takes packets; its port is where callers listen.
+    pub packets: SocketAddr,
+    /// Where the readiness check is served.
+    pub health: SocketAddr,
+    /// UDP socket for messages between processes; the same port on every instance.
+    pub peer: SocketAddr,
+    /// TCP port on which processes tell each other of changes; the same on every instance.
+    pub changes: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// The store.
+    pub store: SocketAddr,
+    /// Threads for each packet socket.
+    pub threads: usize,
+    /// Time between the request to stop and the kill.
+    pub stop_grace: Duration,
+}
+
+/// What a daemon of the relay does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RelayRole {
+    /// Takes packets from callers.
+    Balancer,
+    /// Stands beside one upstream.
+    Agent(RelayAgentSettings),
+}
+
+/// The upstream beside an agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayAgentSettings {
+    /// Name of the upstream's service.
+    pub service: Name,
+    /// Identifier of the upstream's service.
+    pub service_id: ServiceId,
+    /// Where the upstream takes packets.
+    pub upstream: SocketAddr,
+    /// Where the upstream sends its packets.
+    pub outbound: SocketAddr,
+}
+
+impl RelaySettings {
+    /// Reads settings in YAML.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault with its path.
+    pub fn from_yaml(text: &str) -> Result<Self, Faults> {
+        yaml::parse::<wire::relay_settings::RelaySettings>(text)?.try_into()
+    }
+}
+
+impl TryFrom<wire::relay_settings::RelaySettings> for RelaySettings {
+    type Error = Faults;
+
+    fn try_from(wire: wire::relay_settings::RelaySettings) -> Result<Self, Faults> {
+        let mut faults = Faults::default();
+        let settings = check(&wire, &mut faults);
+        faults.into_result()?;
+        settings.ok_or_else(Faults::default)
+    }
+}
+
+fn check(wire: &wire::relay_settings::RelaySettings, faults: &mut Faults) -> Option<RelaySettings> {
+    let role = check_role(wire, faults);
+    faults.require(!wire.instance.is_empty(), "instance", "must be named");
+    faults.require(!wire.data_centre.is_empty(), "data_centre", "must be named");
+    let packets = check_address("packets", &wire.packets, faults);
+    let health = check_address("health", &wire.health, faults);
+    let store = check_address("store", &wire.store, faults);
+    let peer_port = check_port("peer_port", wire.peer_port, faults);
+    let metrics_port = check_port("metrics_port", wire.metrics_port, faults);
+    let threads = match wire.threads {
+        0 => DEFAULT_THREADS,
+        threads => threads.min(MAX_THREADS),
+    };
+    let stop_grace_s = match wire.stop_grace_s {
+        0 => DEFAULT_STOP_GRACE_S,
+        seconds => seconds,
+    };
+    let packets = packets?;
+    let at = |port| SocketAddr::new(packets.ip(), port);
+    Some(RelaySettings {
+        role: role?,
+        instance: wire.instance.as_str().into(),
+        data_centre: wire.data_centre.as_str().into(),
+        packets,
+        health: health?,
+        peer: at(peer_port?),
+        changes: at(peer_port? + 1),
+        metrics: at(metrics_port?),
+        store: store?,
+        threads: threads as usize,
+        stop_grace: Duration::from_secs(stop_grace_s),
+    })
+}
+
+fn check_role(
+    wire: &wire::relay_settings::RelaySettings,
+    faults: &mut Faults,
+) -> Option<RelayRole> {
+    match (wire.role.as_str(), &wire.agent) {
+        ("balancer", _) => Some(RelayRole::Balancer),
+        ("agent", Some(agent)) => check_agent(agent, faults).map(RelayRole::Agent),
+        ("agent", None) => {
+            faults.add("agent", "an agent needs a service and an upstream");
+            None
+        }
+        _ => {
+            faults.add("role", "must be `balancer` or `agent`");
+            None
+        }
+    }
+}
+
+fn check_agent(
+    wire: &wire::relay_settings::RelayAgent,
+    faults: &mut Faults,
+) -> Option<RelayAgentSettings> {
+    faults.require(!wire.service.is_empty(), "agent.service", "must be named");
+    let upstream = check_address("agent.upstream", &wire.upstream, faults);
+    let outbound = check_address("agent.outbound", &wire.outbound, faults);
+    Some(RelayAgentSettings {
+        service: wire.service.as_str().into(),
+        service_id: ServiceId::of(&wire.service),
+        upstream: upstream?,
+        outbound: outbound?,
+    })
+}
+
+fn check_port(path: &str, port: u32, faults: &mut Faults) -> Option<u16> {
+    // One more port follows the first one.
+    let port = u16::try_from(port)
+        .ok()
+        .filter(|p| (1..u16::MAX).contains(p));
+    faults.require(port.is_some(), path, "must be 1 to 65534");
+    port
+}
--- a/crates/plantainquay_schema/src/settings.rs
+++ b/crates/plantainquay_schema/src/settings.rs
@@ -2,6 +2,8 @@
 
 mod check;
 
+pub(crate) use check::check_address;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/plantainquay_schema/src/settings/check.rs
+++ b/crates/plantainquay_schema/src/settings/check.rs
@@ -126,7 +126,7 @@
     keys
 }
 
-fn check_address(path: &str, text: &str, faults: &mut Faults) -> Option<SocketAddr> {
+pub(crate) fn check_address(path: &str, text: &str, faults: &mut Faults) -> Option<SocketAddr> {
     let parsed = text
         .parse()
         .map_err(|_e| format!("`{text}` is not `ip:port`"));
--- a/crates/plantainquay_schema/src/wire.rs
+++ b/crates/plantainquay_schema/src/wire.rs
@@ -41,3 +41,18 @@
 pub mod stand_in {
     include!("generated/plantainquay.stand_in.rs");
 }
+
+/// Datagrams of the relay.
+pub mod relay {
+    include!("generated/plantainquay.relay.rs");
+}
+
+/// Routes and upstreams of the relay.
+pub mod fleet {
+    include!("generated/plantainquay.fleet.rs");
+}
+
+/// Settings of a daemon of the relay.
+pub mod relay_settings {
+    include!("generated/plantainquay.relay_settings.rs");
+}
--- a/xtask/src/codegen.rs
+++ b/xtask/src/codegen.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Context, Result, bail};
 
-const PROTO_FILES: [&str; 7] = [
+const PROTO_FILES: [&str; 10] = [
     "plantainquay/document.proto",
     "plantainquay/settings.proto",
     "plantainquay/tunnel.proto",
@@ -13,34 +13,47 @@
     "plantainquay/status.proto",
     "plantainquay/platform.proto",
     "plantainquay/stand_in.proto",
+    "plantainquay/relay.proto",
+    "plantainquay/fleet.proto",
+    "plantainquay/relay_settings.proto",
 ];
 
+/// Messages of the platform's store, generated into the adapter.
+const ADAPTER_PROTO: &str = "store.proto";
+/// Generated file of the adapter.
+const ADAPTER_FILE: &str = "plantainquay.adapter.rs";
+
 /// Messages that are also read from YAML or written as JSON.
-const SERDE_PACKAGES: [&str; 5] = [
+const SERDE_PACKAGES: [&str; 6] = [
     ".plantainquay.document",
     ".plantainquay.settings",
     ".plantainquay.status",
     ".plantainquay.platform",
     ".plantainquay.stand_in",
+    ".plantainquay.relay_settings",
 ];
 
 /// Writes the generated code into the schema crate.
 pub(crate) fn write() -> Result<()> {
-    generate(&committed_dir())
+    let fresh = generate_fresh()?;
+    for entry in fs::read_dir(&fresh)? {
+        let path = entry?.path();
+        fs::copy(&path, committed(&path)?)?;
+    }
+    Ok(())
 }
 
 /// Fails when the committed code differs from what the schema gives now.
 pub(crate) fn check() -> Result<()> {
-    let fresh = workspace_root().join("target/codegen-check");
-    generate(&fresh)?;
+    let fresh = generate_fresh()?;
     for entry in fs::read_dir(&fresh)? {
         let path = entry?.path();
-        let name = path.file_name().context("generated file without a name")?;
-        let committed = fs::read(committed_dir().join(name)).unwrap_or_default();
-        if committed != fs::read(&path)? {
+        let committed = committed(&path)?;
+        // A file that is missing differs as well.
+        if fs::read(&committed).unwrap_or_default() != fs::read(&path)? {
             bail!(
                 "{} is not current: run `cargo xtask codegen`",
-                name.display()
+                committed.display()
             );
         }
     }
@@ -50,11 +63,30 @@
 
 fn generate(out_dir: &Path) -> Result<()> {
     fs::create_dir_all(out_dir)?;
+    generate_schema(out_dir)?;
+    generate_adapter(out_dir)
+}
+
+/// The adapter's messages travel as JSON only, and may carry fields that are unknown here.
+fn generate_adapter(out_dir: &Path) -> Result<()> {
+    let proto_dir = workspace_root().join("platform/proto");
+    let descriptors = protox::compile([ADAPTER_PROTO], [proto_dir])?;
+    tonic_prost_build::configure()
+        .out_dir(out_dir)
+        .build_transport(false)
+        .type_attribute(".", "#[derive(serde::Deserialize)]")
+        .type_attribute(".", "#[serde(default)]")
+        .compile_fds(descriptors)?;
+    Ok(())
+}
+
+fn generate_schema(out_dir: &Path) -> Result<()> {
     let proto_dir = workspace_root().join("crates/plantainquay_schema/proto");
     let descriptors = protox::compile(PROTO_FILES, [proto_dir])?;
     let mut builder = tonic_prost_build::configure()
         .out_dir(out_dir)
-        .build_transport(false);
+        .build_transport(false)
+        .bytes(".plantainquay.relay");
     for package in SERDE_PACKAGES {
         builder = builder
             .type_attribute(package, "#[derive(serde::Deserialize, serde::Serialize)]")
@@ -64,8 +96,21 @@
     Ok(())
 }
 
-fn committed_dir() -> PathBuf {
-    workspace_root().join("crates/plantainquay_schema/src/generated")
+fn generate_fresh() -> Result<PathBuf> {
+    let fresh = workspace_root().join("target/codegen");
+    generate(&fresh)?;
+    Ok(fresh)
+}
+
+/// Where a freshly generated file is committed.
+fn committed(fresh: &Path) -> Result<PathBuf> {
+    let name = fresh.file_name().context("generated file without a name")?;
+    let dir = if name == ADAPTER_FILE {
+        "platform/src/generated"
+    } else {
+        "crates/plantainquay_schema/src/generated"
+    };
+    Ok(workspace_root().join(dir).join(name))
 }
 
 fn workspace_root() -> PathBuf {
