--- a/crates/plantainquay_net/src/lib.rs
+++ b/crates/plantainquay_net/src/lib.rs
@@ -15,6 +15,7 @@
 mod logging;
 mod packet;
 mod platform;
+pub mod relay;
 mod seal;
 mod tcp_endpoint;
 mod udp;
--- /dev/null
+++ b/crates/plantainquay_net/src/relay/carrier.rs
@@ -0,0 +1,173 @@
+//! Sockets that carry out what the relay decides.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use log::Level;
+use plantainquay_core::relay::{Action, Actions, Packet};
+use plantainquay_schema::{RelayBody, RelayMessage};
+use thiserror::Error;
+
+use super::PacketFormat;
+use crate::{Clock, event};
+
+/// Largest datagram, in bytes.
+const DATAGRAM_BYTES: usize = 2_048;
+/// Stack of a thread that moves packets, in bytes.
+const STACK_BYTES: usize = 256 << 10;
+/// Pause after a socket has failed, so that a lasting failure doesn't take a whole core.
+const FAILURE_PAUSE: Duration = Duration::from_millis(10);
+/// Interval at which decisions that wait for time are looked at.
+const TICK: Duration = Duration::from_millis(20);
+/// Ticks between two looks at flows that may be forgotten.
+const TICKS_PER_EXPIRY: u64 = 50;
+
+/// Why the relay can't start.
+#[derive(Debug, Error)]
+pub enum RelayStartError {
+    /// A socket can't be bound or set up.
+    #[error("socket {0}: {1}")]
+    Socket(SocketAddr, io::Error),
+    /// A thread can't be started.
+    #[error("thread: {0}")]
+    Thread(#[from] io::Error),
+}
+
+/// Sends what the decisions say.
+#[derive(Debug)]
+pub struct Carrier {
+    /// Takes and sends messages between processes.
+    pub peer: UdpSocket,
+    /// Sends packets to callers and to the upstream.
+    pub packets: UdpSocket,
+    /// Port at which callers take packets.
+    pub caller_port: u16,
+    /// Where the upstream takes packets; none at a balancer.
+    pub upstream: Option<SocketAddr>,
+    /// How packets are read and written.
+    pub format: PacketFormat,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Resets sent to callers.
+    pub resets: AtomicU64,
+    /// Datagrams that can't be understood.
+    pub malformed: AtomicU64,
+}
+
+impl Carrier {
+    /// Carries out actions in order.
+    pub fn carry_out(&self, actions: Actions) {
+        let mut buf = Vec::new();
+        for action in actions {
+            self.carry_out_one(action, &mut buf);
+        }
+    }
+
+    fn carry_out_one(&self, action: Action, buf: &mut Vec<u8>) {
+        match action {
+            Action::ToUpstream(packet) => {
+                if let Some(upstream) = self.upstream {
+                    send(&self.packets, &packet, upstream);
+                }
+            }
+            Action::ToCaller(caller, packet) => self.send_to_caller(caller, &packet),
+            Action::Send(to, message) => match message.encode_into(buf) {
+                Ok(()) => send(&self.peer, buf, to),
+                Err(error) => event(Level::Warn, "message_unsent", &[("reason", &error)]),
+            },
+            Action::Reset { tuple, ack, reason } => {
+                self.resets.fetch_add(1, Ordering::Relaxed);
+                let pairs: [(&str, &dyn std::fmt::Display); 3] = [
+                    ("caller", &tuple.source),
+                    ("listener", &tuple.destination),
+                    ("reason", &reason),
+                ];
+                event(Level::Info, "flow_reset", &pairs);
+                if let Some(packet) = (self.format.reset)(&tuple, ack) {
+                    self.send_to_caller(tuple.source, &packet);
+                }
+            }
+            Action::Drop(reason) => event(Level::Debug, "packet_dropped", &[("reason", &reason)]),
+        }
+    }
+
+    fn send_to_caller(&self, mut caller: SocketAddr, packet: &[u8]) {
+        caller.set_port(self.caller_port);
+        send(&self.packets, packet, caller);
+    }
+
+    /// Takes messages from other processes for as long as the process lives.
+    pub fn take_messages(
+        &self,
+        on_message: impl Fn(SocketAddr, RelayMessage, Option<&Packet>) -> Actions,
+    ) {
+        take_datagrams(&self.peer, |from, bytes| {
+            match RelayMessage::decode(Bytes::copy_from_slice(bytes)) {
+                Ok(message) => {
+                    let packet = carried(&message.body).and_then(|b| (self.format.from_caller)(b));
+                    self.carry_out(on_message(from, message, packet.as_ref()));
+                }
+                Err(error) => {
+                    self.malformed.fetch_add(1, Ordering::Relaxed);
+                    event(Level::Debug, "message_malformed", &[("reason", &error)]);
+                }
+            }
+        });
+    }
+
+    /// Looks at what waits for time, for as long as the process lives.
+    pub fn tick(&self, on_tick: impl Fn() -> Actions, expire: impl Fn()) {
+        for ticks in 1.. {
+            thread::sleep(TICK);
+            self.carry_out(on_tick());
+            if ticks % TICKS_PER_EXPIRY == 0 {
+                expire();
+            }
+        }
+    }
+}
+
+/// The packet inside a message.
+fn carried(body: &RelayBody) -> Option<&Bytes> {
+    match body {
+        RelayBody::Opening(opening) => Some(&opening.packet),
+        RelayBody::Established(packet) | RelayBody::Probe(packet) => Some(&packet.packet),
+        _ => None,
+    }
+}
+
+/// Takes datagrams for as long as the process lives.
+pub(super) fn take_datagrams(socket: &UdpSocket, on_datagram: impl Fn(SocketAddr, &[u8])) {
+    let mut buf = [0; DATAGRAM_BYTES];
+    loop {
+        match socket.recv_from(&mut buf) {
+            Ok((length, from)) => on_datagram(from, &buf[..length]),
+            Err(error) => {
+                event(Level::Warn, "receive_failed", &[("reason", &error)]);
+                thread::sleep(FAILURE_PAUSE);
+            }
+        }
+    }
+}
+
+/// Starts a thread with a small stack.
+pub(super) fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    let builder = thread::Builder::new().name(name.to_owned());
+    builder.stack_size(STACK_BYTES).spawn(run)?;
+    Ok(())
+}
+
+/// Sends a datagram; one that is lost here is repeated by its sender as if the network had lost it.
+fn send(socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
+    if let Err(error) = socket.send_to(bytes, to) {
+        event(
+            Level::Debug,
+            "send_failed",
+            &[("to", &to), ("reason", &error)],
+        );
+    }
+}
--- /dev/null
+++ b/crates/plantainquay_net/src/relay/fleet_state.rs
@@ -0,0 +1,138 @@
+//! What a process knows of routes and upstreams, shared by its threads.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::Level;
+use parking_lot::Mutex;
+use plantainquay_core::relay::RelayView;
+use plantainquay_core::{Applied, Fleet, Timestamp};
+use plantainquay_schema::{Changes, Generation};
+use tokio::sync::watch;
+
+use crate::{Clock, event};
+
+/// Puts a view in force.
+pub type InstallView = Box<dyn Fn(Arc<RelayView>) + Send + Sync>;
+
+/// What a process knows, and who is told when it changes.
+pub struct FleetState {
+    inner: Mutex<Inner>,
+    install: Mutex<Option<InstallView>>,
+    /// Rises with each change.
+    changed: watch::Sender<u64>,
+    peer_port: u16,
+    clock: Clock,
+}
+
+#[derive(Default)]
+struct Inner {
+    fleet: Fleet,
+    view: Arc<RelayView>,
+    last_expiry: Timestamp,
+}
+
+impl fmt::Debug for FleetState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("FleetState").finish_non_exhaustive()
+    }
+}
+
+impl FleetState {
+    /// A process that knows nothing yet; other processes take messages on `peer_port`.
+    #[must_use]
+    pub fn new(peer_port: u16, clock: Clock) -> Self {
+        Self {
+            inner: Mutex::default(),
+            install: Mutex::new(None),
+            changed: watch::Sender::new(0),
+            peer_port,
+            clock,
+        }
+    }
+
+    /// Names the receiver of views.
+    pub fn on_view(&self, install: InstallView) {
+        *self.install.lock() = Some(install);
+    }
+
+    /// Takes in changes from the store or from another process.
+    pub fn apply(&self, changes: Changes, source: &str) {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock();
+        let applied = inner.fleet.apply(now, changes);
+        if applied != Applied::default() {
+            self.install(now, &mut inner);
+            log_change(applied, &inner.fleet, now, source);
+        }
+    }
+
+    /// Forgets upstreams that left long ago.
+    pub fn expire(&self) {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock();
+        let last = std::mem::replace(&mut inner.last_expiry, now);
+        if inner.fleet.expire(now, last) {
+            self.install(now, &mut inner);
+        }
+    }
+
+    /// The present time on the process's clock.
+    #[must_use]
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Looks at the state.
+    pub fn with<R>(&self, look: impl FnOnce(&Fleet) -> R) -> R {
+        look(&self.inner.lock().fleet)
+    }
+
+    /// Time since the state was last confirmed; none when it never was.
+    #[must_use]
+    pub fn age(&self, now: Timestamp) -> Option<Duration> {
+        self.with(|fleet| fleet.age(now))
+    }
+
+    /// The view in force.
+    #[must_use]
+    pub fn view(&self) -> Arc<RelayView> {
+        Arc::clone(&self.inner.lock().view)
+    }
+
+    /// Everything that is newer than what an asker has.
+    #[must_use]
+    pub fn changes_since(&self, generation: Generation, revision: u64) -> Changes {
+        let now = self.clock.now();
+        self.with(|fleet| fleet.changes_since(now, generation, revision))
+    }
+
+    /// Tells of each change from now on.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    fn install(&self, now: Timestamp, inner: &mut Inner) {
+        let view = RelayView::build(&inner.fleet, now, self.peer_port, &inner.view);
+        inner.view = Arc::new(view);
+        if let Some(install) = &*self.install.lock() {
+            install(Arc::clone(&inner.view));
+        }
+        self.changed.send_modify(|changes| *changes += 1);
+    }
+}
+
+fn log_change(applied: Applied, fleet: &Fleet, now: Timestamp, source: &str) {
+    let upstreams = fleet.current(now).count();
+    let pairs: [(&str, &dyn fmt::Display); 6] = [
+        ("source", &source),
+        ("generation", &fleet.routes().generation),
+        ("new_routes", &applied.routes),
+        ("revision", &fleet.revision()),
+        ("new_upstreams", &applied.upstreams),
+        ("upstreams", &upstreams),
+    ];
+    event(Level::Info, "view_changed", &pairs);
+}
--- /dev/null
+++ b/crates/plantainquay_net/src/relay/http.rs
@@ -0,0 +1,114 @@
+//! The HTTP endpoints of a daemon of the relay.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use ntex::time::{Seconds, timeout};
+use ntex::web::{self, App, HttpResponse, HttpServer};
+use plantainquay_schema::{Generation, wire};
+use prost::Message as _;
+use serde::Deserialize;
+
+use super::FleetState;
+use super::follow::SOURCE_WAIT;
+
+/// Longest wait for readers of the endpoints when the daemon ends.
+const SHUTDOWN_TIMEOUT: Seconds = Seconds(1);
+
+/// What the endpoints serve.
+pub struct RelayHttp {
+    /// Whether callers' packets may be sent here.
+    pub is_ready: Box<dyn Fn() -> bool + Send + Sync>,
+    /// Routes and upstreams.
+    pub fleet: Arc<FleetState>,
+    /// Brings metrics up to date that are counted elsewhere.
+    pub refresh_metrics: Box<dyn Fn() + Send + Sync>,
+    /// Renders the metrics.
+    pub metrics: PrometheusHandle,
+}
+
+impl fmt::Debug for RelayHttp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RelayHttp").finish_non_exhaustive()
+    }
+}
+
+type State = web::types::State<Arc<RelayHttp>>;
+
+/// Serves `/ready`, `/metrics` and `/v1/changes`; runs on the caller's ntex system.
+///
+/// # Errors
+///
+/// Fails when an address can't be bound.
+pub fn serve_relay_http(
+    addresses: &[SocketAddr],
+    state: Arc<RelayHttp>,
+) -> io::Result<ntex::server::Server> {
+    let mut server = HttpServer::new(async move || {
+        App::new()
+            .state(Arc::clone(&state))
+            .service((ready, metrics, changes))
+    })
+    .workers(1)
+    .shutdown_timeout(SHUTDOWN_TIMEOUT)
+    .disable_signals();
+    for address in addresses {
+        server = server.bind(address)?;
+    }
+    Ok(server.run())
+}
+
+#[web::get("/ready")]
+async fn ready(state: State) -> HttpResponse {
+    if (state.is_ready)() {
+        HttpResponse::Ok().body("ready\n")
+    } else {
+        HttpResponse::ServiceUnavailable().body("not ready\n")
+    }
+}
+
+#[web::get("/metrics")]
+async fn metrics(state: State) -> HttpResponse {
+    (state.refresh_metrics)();
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(state.metrics.render())
+}
+
+/// What an asker has, and how long it waits for more.
+#[derive(Deserialize)]
+struct Asker {
+    generation: u64,
+    revision: u64,
+    wait_ms: u64,
+}
+
+/// Answers with what is newer than the asker's state, as soon as there is any.
+#[web::get("/v1/changes")]
+async fn changes(state: State, asker: web::types::Query<Asker>) -> HttpResponse {
+    let generation = Generation(asker.generation);
+    let wait = Duration::from_millis(asker.wait_ms).min(SOURCE_WAIT);
+    let mut changed = state.fleet.subscribe();
+    let is_newer = || {
+        let fleet = &state.fleet;
+        fleet.with(|fleet| fleet.is_newer_than(generation, asker.revision))
+    };
+    let wait_for_news = async {
+        while !is_newer() {
+            if changed.changed().await.is_err() {
+                break;
+            }
+        }
+    };
+    // Nothing new in time is an answer as well: the state is confirmed.
+    let _in_time = timeout(wait, wait_for_news).await;
+    let changes = state.fleet.changes_since(generation, asker.revision);
+    let body = wire::fleet::Changes::from(&changes).encode_to_vec();
+    HttpResponse::Ok()
+        .content_type("application/x-protobuf")
+        .body(body)
+}
--- /dev/null
+++ b/crates/plantainquay_net/src/relay/metrics.rs
@@ -0,0 +1,54 @@
+//! Counters of the relay, as metrics.
+
+use std::sync::atomic::Ordering;
+
+use metrics::{counter, gauge};
+
+use super::{AgentThreads, BalancerThreads, Carrier};
+
+impl BalancerThreads {
+    /// Brings the metrics up to date with the counters.
+    pub fn refresh_metrics(&self) {
+        let counters = self.balancer.counters();
+        let totals = [
+            ("relay_openings_total", counters.openings),
+            ("relay_retried_openings_total", counters.retried_openings),
+            ("relay_remembered_packets_total", counters.remembered),
+            ("relay_owner_packets_total", counters.to_owner),
+            ("relay_reset_flows_total", counters.reset),
+            ("relay_unrouted_packets_total", counters.no_route),
+            ("relay_no_view_packets_total", counters.no_view),
+        ];
+        refresh(&totals, &self.carrier);
+    }
+}
+
+impl AgentThreads {
+    /// Brings the metrics up to date with the counters.
+    pub fn refresh_metrics(&self) {
+        let counters = self.agent.counters();
+        let totals = [
+            ("relay_offered_openings_total", counters.offered),
+            ("relay_passed_on_openings_total", counters.passed_on),
+            ("relay_refused_openings_total", counters.refused),
+            ("relay_returned_openings_total", counters.returned_openings),
+            ("relay_returned_packets_total", counters.returned),
+            ("relay_lookups_total", counters.lookups),
+            ("relay_found_flows_total", counters.found),
+            ("relay_lost_flows_total", counters.lost),
+            ("relay_reset_flows_total", counters.reset),
+            ("relay_wrong_service_total", counters.wrong_service),
+        ];
+        refresh(&totals, &self.carrier);
+        let meter = self.agent.meter();
+        gauge!("relay_requests_in_progress").set(f64::from(meter.waiting()));
+        gauge!("relay_open_flows").set(f64::from(meter.open()));
+    }
+}
+
+fn refresh(totals: &[(&'static str, u64)], carrier: &Carrier) {
+    for (name, total) in totals {
+        counter!(*name).absolute(*total);
+    }
+    counter!("relay_malformed_datagrams_total").absolute(carrier.malformed.load(Ordering::Relaxed));
+}
--- a/crates/plantainquayd/src/daemon.rs
+++ b/crates/plantainquayd/src/daemon.rs
@@ -34,7 +34,7 @@
 ///
 /// Fails when a socket can't be bound or the runtime can't start.
 pub fn run(settings: Settings) -> Result<(), DaemonError> {
-    init_log(&settings)?;
+    init_log(settings.log_level.as_str())?;
     let metrics = init_metrics().context("metrics")?;
     let clock = Clock::start();
     let threads = tokio::runtime::Builder::new_multi_thread()
@@ -96,8 +96,8 @@
     Ok(())
 }
 
-fn init_log(settings: &Settings) -> Result<(), DaemonError> {
-    let level = match settings.log_level.as_str() {
+pub(crate) fn init_log(level: &str) -> Result<(), DaemonError> {
+    let level = match level {
         "error" => LevelFilter::Error,
         "warn" => LevelFilter::Warn,
         "debug" => LevelFilter::Debug,
--- a/crates/plantainquayd/src/lib.rs
+++ b/crates/plantainquayd/src/lib.rs
@@ -5,7 +5,9 @@
 
 mod daemon;
 mod load_settings;
+mod relay;
 mod role;
 
 pub use daemon::{DaemonError, run};
 pub use load_settings::{LoadError, load_settings};
+pub use relay::{RelayAdapter, run_relay};
--- a/crates/plantainquayd/src/main.rs
+++ b/crates/plantainquayd/src/main.rs
@@ -1,15 +1,20 @@
-//! `plantainquayd --settings FILE`.
+//! `plantainquayd --settings FILE`, or `plantainquayd platform`.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Arg, Command, value_parser};
 
+/// Subcommand that runs behind the platform's adapter.
+const PLATFORM: &str = "platform";
 /// Exit code for settings that can't be used.
 const WRONG_SETTINGS: u8 = 2;
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
+    if matches.subcommand_matches(PLATFORM).is_some() {
+        return run_on_platform();
+    }
     let path: &PathBuf = matches
         .get_one("settings")
         .expect("clap requires the argument");
@@ -20,7 +25,23 @@
             return ExitCode::from(WRONG_SETTINGS);
         }
     };
-    match plantainquayd::run(settings) {
+    exit_code(plantainquayd::run(settings))
+}
+
+fn run_on_platform() -> ExitCode {
+    let Some(settings_path) = plantainquay_platform::settings_path() else {
+        eprintln!("plantainquayd: the platform has named no settings file");
+        return ExitCode::from(WRONG_SETTINGS);
+    };
+    exit_code(plantainquayd::run_relay(plantainquayd::RelayAdapter {
+        format: plantainquay_platform::packet_format(),
+        store_reader: plantainquay_platform::store_reader,
+        settings_path,
+    }))
+}
+
+fn exit_code(result: Result<(), plantainquayd::DaemonError>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("plantainquayd: {error:#}");
@@ -40,4 +61,9 @@
         .version(env!("CARGO_PKG_VERSION"))
         .about("plantainquay daemon: balancer or agent, as its settings say")
         .arg(settings)
+        .subcommand_negates_reqs(true)
+        .subcommand(
+            Command::new(PLATFORM)
+                .about("Run with the settings file, packets and store of the platform"),
+        )
 }
--- /dev/null
+++ b/crates/plantainquayd/src/relay.rs
@@ -0,0 +1,237 @@
+//! The life of one daemon of the relay: start, serve, drain, end.
+
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use anyhow::Context;
+use log::Level;
+use ntex::time::{Millis, sleep};
+use plantainquay_net::relay::{
+    AgentThreads, BalancerThreads, FleetState, PacketFormat, RelayHttp, StoreReader, follow,
+    serve_relay_http,
+};
+use plantainquay_net::{Clock, event, init_metrics};
+use plantainquay_schema::{RelayRole, RelaySettings};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::daemon::{DaemonError, init_log};
+
+/// Interval at which upstreams that left long ago are forgotten.
+const EXPIRY_INTERVAL: Millis = Millis(200);
+/// Interval at which the settings file is compared with the settings in use.
+const SETTINGS_INTERVAL: Millis = Millis(2_000);
+/// Interval at which a leaving balancer looks whether packets still come.
+const DRAIN_CHECK: Millis = Millis(50);
+/// Time for which a leaving balancer forwards at least: two readiness checks and a margin.
+const MIN_DRAIN: Duration = Duration::from_millis(1_600);
+/// Silence after which a leaving balancer takes it that nobody uses it any more.
+const QUIET: Duration = Duration::from_millis(600);
+/// Part of the grace before the kill that is left unused.
+const GRACE_MARGIN: Duration = Duration::from_secs(1);
+/// Time for the resets of an ended upstream's flows to leave.
+const RESET_TIME: Millis = Millis(50);
+/// Longest wait for a sign that the upstream still runs.
+const UPSTREAM_CHECK: Duration = Duration::from_millis(200);
+
+/// What a front end of the relay brings.
+#[derive(Debug)]
+pub struct RelayAdapter {
+    /// The packet format.
+    pub format: PacketFormat,
+    /// Makes a reader of the store at an address.
+    pub store_reader: fn(SocketAddr, ntex::client::Client) -> StoreReader,
+    /// The settings file.
+    pub settings_path: PathBuf,
+}
+
+/// Runs one daemon of the relay until it was told to leave and has drained.
+///
+/// # Errors
+///
+/// Fails when the settings are faulty, a socket can't be bound or a thread can't start.
+pub fn run_relay(adapter: RelayAdapter) -> Result<(), DaemonError> {
+    let settings = load(&adapter.settings_path)?;
+    init_log("info")?;
+    let metrics = init_metrics().context("metrics")?;
+    let clock = Clock::start();
+    let fleet = Arc::new(FleetState::new(settings.peer.port(), clock));
+    let role = Arc::new(RelayThreads::start(&settings, &adapter, &fleet, clock)?);
+    let leaving = Arc::new(AtomicBool::new(false));
+    let http = Arc::new(RelayHttp {
+        is_ready: readiness(&fleet, &leaving),
+        fleet: Arc::clone(&fleet),
+        refresh_metrics: refresh(&role),
+        metrics,
+    });
+    let system = ntex::rt::System::build()
+        .name(settings.instance.as_str())
+        .disable_signals()
+        .build(ntex::rt::DefaultRuntime);
+    system.block_on(async move {
+        let mut terminate = signal(SignalKind::terminate()).context("signals")?;
+        let addresses = [settings.health, settings.changes, settings.metrics];
+        serve_relay_http(&addresses, http).context("http")?;
+        let client = ntex::client::Client::new().await;
+        let store = (adapter.store_reader)(settings.store, client);
+        ntex::rt::spawn(follow(settings.clone(), Arc::clone(&fleet), store));
+        ntex::rt::spawn(expire(Arc::clone(&fleet)));
+        ntex::rt::spawn(watch_settings(adapter.settings_path, settings.clone()));
+        log_start(&settings);
+        terminate.recv().await;
+        leaving.store(true, Ordering::Relaxed);
+        event(Level::Info, "draining", &[]);
+        role.drain(&settings, clock).await;
+        event(Level::Info, "stopped", &[("instance", &settings.instance)]);
+        anyhow::Ok(())
+    })?;
+    // Threads block on their sockets; nothing of the process outlives it.
+    std::process::exit(0)
+}
+
+/// The threads of one role.
+#[derive(Debug)]
+enum RelayThreads {
+    Balancer(Arc<BalancerThreads>),
+    Agent(Arc<AgentThreads>, SocketAddr),
+}
+
+impl RelayThreads {
+    fn start(
+        settings: &RelaySettings,
+        adapter: &RelayAdapter,
+        fleet: &Arc<FleetState>,
+        clock: Clock,
+    ) -> Result<Self, DaemonError> {
+        match &settings.role {
+            RelayRole::Balancer => {
+                let fleet_of_threads = Arc::clone(fleet);
+                let threads =
+                    BalancerThreads::start(settings, adapter.format, fleet_of_threads, clock)?;
+                let installed = Arc::clone(&threads);
+                fleet.on_view(Box::new(move |view| installed.balancer.install(view)));
+                Ok(Self::Balancer(threads))
+            }
+            RelayRole::Agent(agent) => {
+                let threads = AgentThreads::start(settings, agent, adapter.format, clock)?;
+                let installed = Arc::clone(&threads);
+                fleet.on_view(Box::new(move |view| installed.agent.install(view)));
+                Ok(Self::Agent(threads, agent.upstream))
+            }
+        }
+    }
+
+    /// Goes on for as long as somebody may need the process.
+    async fn drain(&self, settings: &RelaySettings, clock: Clock) {
+        let start = clock.now();
+        let longest = settings.stop_grace.saturating_sub(GRACE_MARGIN);
+        match self {
+            Self::Balancer(threads) => loop {
+                sleep(DRAIN_CHECK).await;
+                let now = clock.now();
+                let is_quiet = now.since(threads.last_packet()) >= QUIET;
+                let elapsed = now.since(start);
+                if elapsed >= longest || (is_quiet && elapsed >= MIN_DRAIN) {
+                    return;
+                }
+            },
+            Self::Agent(threads, upstream) => {
+                while !has_ended(*upstream) && clock.now().since(start) < longest {
+                    sleep(DRAIN_CHECK).await;
+                }
+                if has_ended(*upstream) {
+                    threads.carrier.carry_out(threads.agent.upstream_ended());
+                    sleep(RESET_TIME).await;
+                }
+            }
+        }
+    }
+}
+
+/// Whether nothing listens at the upstream's address any more.
+fn has_ended(upstream: SocketAddr) -> bool {
+    let connected = TcpStream::connect_timeout(&upstream, UPSTREAM_CHECK);
+    connected.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
+/// Ready once routes and upstreams are known to be current, until the daemon leaves.
+fn readiness(
+    fleet: &Arc<FleetState>,
+    leaving: &Arc<AtomicBool>,
+) -> Box<dyn Fn() -> bool + Send + Sync> {
+    let fleet = Arc::clone(fleet);
+    let leaving = Arc::clone(leaving);
+    Box::new(move || {
+        let now = fleet.now();
+        // Once confirmed, what is known serves even while the store is away.
+        let is_current = fleet.age(now).is_some() && fleet.view().generation().0 > 0;
+        is_current && !leaving.load(Ordering::Relaxed)
+    })
+}
+
+fn refresh(role: &Arc<RelayThreads>) -> Box<dyn Fn() + Send + Sync> {
+    let role = Arc::clone(role);
+    Box::new(move || match &*role {
+        RelayThreads::Balancer(threads) => threads.refresh_metrics(),
+        RelayThreads::Agent(threads, _) => threads.refresh_metrics(),
+    })
+}
+
+async fn expire(fleet: Arc<FleetState>) {
+    loop {
+        sleep(EXPIRY_INTERVAL).await;
+        fleet.expire();
+    }
+}
+
+/// Checks the settings file on SIGHUP and now and then, since it may change without a signal.
+async fn watch_settings(path: PathBuf, in_use: RelaySettings) {
+    let Ok(mut hang_up) = signal(SignalKind::hangup()) else {
+        return event(Level::Error, "signals_unavailable", &[]);
+    };
+    let mut last = Some(in_use);
+    loop {
+        tokio::select! {
+            _ = hang_up.recv() => event(Level::Info, "settings_signal", &[]),
+            () = sleep(SETTINGS_INTERVAL) => {}
+        }
+        match load(&path) {
+            Ok(settings) if last.as_ref() != Some(&settings) => {
+                // Addresses are bound for the life of the process; a restart takes new ones up.
+                event(
+                    Level::Info,
+                    "settings_changed",
+                    &[("in_force", &"at_restart")],
+                );
+                last = Some(settings);
+            }
+            Ok(_) => {}
+            Err(error) => {
+                if last.take().is_some() {
+                    event(Level::Error, "settings_refused", &[("reason", &error)]);
+                }
+            }
+        }
+    }
+}
+
+fn load(path: &Path) -> Result<RelaySettings, DaemonError> {
+    let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+    RelaySettings::from_yaml(&text).with_context(|| path.display().to_string())
+}
+
+fn log_start(settings: &RelaySettings) {
+    let role = match &settings.role {
+        RelayRole::Balancer => "balancer",
+        RelayRole::Agent(_) => "agent",
+    };
+    let pairs: [(&str, &dyn std::fmt::Display); 4] = [
+        ("role", &role),
+        ("instance", &settings.instance),
+        ("packets", &settings.packets),
+        ("version", &env!("CARGO_PKG_VERSION")),
+    ];
+    event(Level::Info, "started", &pairs);
+}
