Refuse a flow only before its caller can have sent a copy

Cause: random faults: an agent that was paused refused an opening packet of a flow that another balancer's copy had opened since, and the first balancer reset it. Ruled out: losing the refusal (callers would wait). Change: a refusal resets only when every agent that got the packet has refused it, within 150 ms.

--- a/crates/plantainquay_core/src/relay/balancer.rs
+++ b/crates/plantainquay_core/src/relay/balancer.rs
@@ -24,6 +24,8 @@
 /// Several times the way to an agent that is not congested and back, and well before the caller's
 /// own copy.
 const OPENING_RETRY: Duration = Duration::from_millis(60);
+/// Time after which a caller that got no answer may have sent a copy through another balancer.
+const FIRST_COPY: Duration = Duration::from_millis(150);
 /// Agents that one opening packet is sent to before the caller's own copy.
 const MAX_OPENING_TRIES: u32 = 3;
 /// Time for which an agent that didn't answer an opening packet gets no other one.
@@ -225,7 +227,9 @@
         let pending = Pending {
             packet: bytes.clone(),
             is_repeated: packet.is_repeated_opening(),
+            since: self.now,
             tries: 1,
+            refusals: 0,
         };
         let cached = Cached::new(self.now, packet.tuple, service, agent).with_pending(pending);
         shard.insert(flow, cached);
@@ -240,6 +244,7 @@
         let (service, agent) = match shard.get_mut(flow, &packet.tuple) {
             Some(cached) if self.may_hold(cached.service, cached.agent) => {
                 cached.last_packet = self.now;
+                cached.pending = None;
                 cached.caller_ack = packet.ack;
                 self.count(|c| c.remembered += 1);
                 (cached.service, cached.agent)
@@ -318,10 +323,17 @@
         let flow = tuple.flow_id();
         let mut shard = self.balancer.shard(flow);
         let cached = shard.get_mut(flow, &tuple);
-        if let Some(pending) = cached.and_then(|cached| cached.pending.take()) {
-            shard.remove(flow);
-            self.refuse_opening(tuple, pending.is_repeated);
+        let Some(pending) = cached.and_then(|cached| cached.pending.as_mut()) else {
+            return;
+        };
+        pending.refusals += 1;
+        if pending.refusals < pending.tries {
+            return;
         }
+        let is_old = self.now.since(pending.since) >= FIRST_COPY;
+        let may_be_open = pending.is_repeated || is_old;
+        shard.remove(flow);
+        self.refuse_opening(tuple, may_be_open);
     }
 
     /// Tells the caller at once that nobody takes its flow, unless the flow may be open.
--- a/crates/plantainquay_core/src/relay/balancer/cache.rs
+++ b/crates/plantainquay_core/src/relay/balancer/cache.rs
@@ -44,7 +44,11 @@
     pub(super) packet: Bytes,
     /// Whether an earlier copy may have opened the flow.
     pub(super) is_repeated: bool,
+    /// When it came.
+    pub(super) since: Timestamp,
+    /// Agents that it was sent to, and those that refused it.
     pub(super) tries: u32,
+    pub(super) refusals: u32,
 }
 
 impl Cached {
