Note each decision with its inputs; log lines never block

Cause: nothing told why a flow was placed, looked for or reset. Change: decisions return notes, which the front end logs with the view's generation and revision. Lines go through a bounded queue to a thread of their own, with a budget of 200 lines a second for each event; what is left out is counted.

--- a/crates/plantainquay_core/src/relay/action.rs
+++ b/crates/plantainquay_core/src/relay/action.rs
@@ -7,6 +7,8 @@
 use smallvec::SmallVec;
 use thiserror::Error;
 
+use super::Note;
+
 /// What is to be done, in order.
 pub type Actions = SmallVec<[Action; 2]>;
 
@@ -30,6 +32,8 @@
     },
     /// The packet is dropped.
     Drop(DropReason),
+    /// What was decided is written down.
+    Note(Note),
 }
 
 /// Why a flow is reset.
--- a/crates/plantainquay_core/src/relay/agent.rs
+++ b/crates/plantainquay_core/src/relay/agent.rs
@@ -14,7 +14,7 @@
 use plantainquay_schema::{FiveTuple, FlowId, RelayBody, RelayMessage, ServiceId};
 
 use self::flow::FlowShard;
-use super::{Action, Actions, DropReason, LoadMeter, Packet, RelayView, ServiceCandidates};
+use super::{Action, Actions, Decision, DropReason, LoadMeter, Packet, RelayView, ServiceCandidates};
 use crate::Timestamp;
 
 /// Fixed facts about an agent.
@@ -203,6 +203,22 @@
         self.view.service(self.agent.config.service)
     }
 
+    fn note(
+        &mut self,
+        tuple: FiveTuple,
+        decision: Decision,
+        agent: Option<SocketAddr>,
+        number: u64,
+    ) {
+        let note = self.view.note(tuple, decision, agent, Some(number));
+        self.actions.push(note);
+    }
+
+    /// Microseconds since `earlier`, as notes carry them.
+    fn micros_since(&self, earlier: Timestamp) -> u64 {
+        u64::try_from(self.now.since(earlier).as_micros()).unwrap_or(u64::MAX)
+    }
+
     fn send(&mut self, to: SocketAddr, body: RelayBody) {
         let service = self.agent.config.service;
         self.actions
--- a/crates/plantainquay_core/src/relay/agent/flow.rs
+++ b/crates/plantainquay_core/src/relay/agent/flow.rs
@@ -38,6 +38,8 @@
 pub(super) struct Flow {
     pub(super) tuple: FiveTuple,
     pub(super) state: FlowState,
+    /// Moment at which the flow was first heard of.
+    pub(super) since: Timestamp,
     pub(super) last_packet: Timestamp,
     /// The balancer that took the caller's last packet; none before one came through a balancer.
     pub(super) balancer: Option<SocketAddr>,
@@ -154,6 +156,7 @@
         let entry = Flow {
             tuple,
             state,
+            since: now,
             last_packet: now,
             balancer: None,
             caller_ack: 0,
--- a/crates/plantainquay_core/src/relay/agent/lookup.rs
+++ b/crates/plantainquay_core/src/relay/agent/lookup.rs
@@ -11,7 +11,7 @@
     Flow, FlowShard, FlowState, Holder, Lookup, Trial, Waiting, established,
 };
 use super::{Action, Context};
-use crate::relay::{Candidate, CandidateState, DropReason, Packet};
+use crate::relay::{Candidate, CandidateState, Decision, DropReason, Packet};
 
 /// Time without a returned packet after which the upstream is taken to hold a tried flow.
 ///
@@ -89,7 +89,8 @@
         denied: SmallVec::new(),
         waiting,
     };
-    send_probes(cx, &mut lookup);
+    let asked = send_probes(cx, &mut lookup);
+    cx.note(known.tuple, Decision::LookupStarted, None, asked);
     known.state = FlowState::Asked(Box::new(lookup));
     conclude(cx, known);
 }
@@ -105,8 +106,8 @@
     }
 }
 
-/// Asks every agent that has not denied the flow.
-fn send_probes(cx: &mut Context<'_>, lookup: &mut Lookup) {
+/// Asks every agent that has not denied the flow; returns how many.
+fn send_probes(cx: &mut Context<'_>, lookup: &mut Lookup) -> u64 {
     lookup.asked = cx.now;
     lookup.rounds += 1;
     let own = cx.own();
@@ -117,9 +118,10 @@
         .map(|candidate| candidate.agent)
         .filter(|agent| *agent != own && !lookup.denied.contains(agent))
         .collect();
-    for agent in others {
-        cx.send(agent, RelayBody::Probe(lookup.probe.clone()));
+    for agent in &others {
+        cx.send(*agent, RelayBody::Probe(lookup.probe.clone()));
     }
+    others.len() as u64
 }
 
 pub(super) fn on_located(cx: &mut Context<'_>, from: SocketAddr, tuple: FiveTuple) {
@@ -141,6 +143,8 @@
     let waiting = match state {
         FlowState::Asked(lookup) => {
             cx.count(|c| c.found += 1);
+            let micros = cx.micros_since(lookup.since);
+            cx.note(tuple, Decision::LookupFound, Some(from), micros);
             lookup.waiting
         }
         FlowState::Tried(trial) => trial.waiting,
@@ -220,6 +224,8 @@
         return;
     }
     let tuple = known.tuple;
+    let micros = cx.micros_since(lookup.since);
+    cx.note(tuple, Decision::LookupLost, None, micros);
     known.state = FlowState::Lost;
     cx.count(|c| c.lost += 1);
     if let Some(balancer) = known.balancer {
--- a/crates/plantainquay_core/src/relay/agent/opening.rs
+++ b/crates/plantainquay_core/src/relay/agent/opening.rs
@@ -6,7 +6,7 @@
 
 use super::flow::FlowState;
 use super::{Action, Context};
-use crate::relay::{CandidateState, Packet};
+use crate::relay::{CandidateState, Decision, Packet};
 
 /// Agents that compare their loads for one new flow.
 const COMPARED: usize = 2;
@@ -58,7 +58,7 @@
     let own = cx.own();
     let load = own_load(cx);
     if opening.chosen && load != UNAVAILABLE {
-        return offer(cx, opening, packet);
+        return offer(cx, opening, packet, load);
     }
     if !opening.visited.contains(&own) {
         opening.visited.push(own);
@@ -70,19 +70,24 @@
         }
         opening.chosen = false;
         cx.count(|c| c.passed_on += 1);
+        cx.note(packet.tuple, Decision::OpeningPassedOn, Some(next), load.into());
         return cx.send(next, RelayBody::Opening(opening));
     }
     match opening.best {
         Some(best) if best.agent != own && !opening.chosen && is_better(best) => {
             opening.chosen = true;
             cx.count(|c| c.passed_on += 1);
+            let to = Some(best.agent);
+            cx.note(packet.tuple, Decision::OpeningPassedOn, to, load.into());
             cx.send(best.agent, RelayBody::Opening(opening));
         }
         _ if load == UNAVAILABLE => {
             cx.count(|c| c.refused += 1);
+            let visited = opening.visited.len() as u64;
+            cx.note(packet.tuple, Decision::OpeningRefused, None, visited);
             cx.send(opening.balancer, RelayBody::Refused(packet.tuple));
         }
-        _ => offer(cx, opening, packet),
+        _ => offer(cx, opening, packet, load),
     }
 }
 
@@ -104,7 +109,7 @@
     Some(next.agent)
 }
 
-fn offer(cx: &mut Context<'_>, opening: OpeningPacket, packet: &Packet) {
+fn offer(cx: &mut Context<'_>, opening: OpeningPacket, packet: &Packet, load: u32) {
     let flow = packet.tuple.flow_id();
     let mut shard = cx.agent.shard(flow);
     let bytes = opening.packet.clone();
@@ -115,6 +120,7 @@
         cx.with_meter(super::LoadMeter::offered);
     }
     cx.count(|c| c.offered += 1);
+    cx.note(packet.tuple, Decision::OpeningOffered, None, load.into());
     cx.actions.push(Action::ToUpstream(bytes));
 }
 
@@ -122,6 +128,8 @@
 pub(super) fn on_returned(cx: &mut Context<'_>, mut opening: OpeningPacket, packet: &Packet) {
     let own = cx.own();
     cx.count(|c| c.returned_openings += 1);
+    let visits = opening.visited.len() as u64;
+    cx.note(packet.tuple, Decision::OpeningReturned, None, visits);
     if !opening.visited.contains(&own) {
         opening.visited.push(own);
     }
@@ -137,6 +145,8 @@
         }
         _ => {
             cx.count(|c| c.refused += 1);
+            let visited = opening.visited.len() as u64;
+            cx.note(packet.tuple, Decision::OpeningRefused, None, visited);
             cx.send(opening.balancer, RelayBody::Refused(packet.tuple));
         }
     }
--- a/crates/plantainquay_core/src/relay/agent/upstream.rs
+++ b/crates/plantainquay_core/src/relay/agent/upstream.rs
@@ -5,7 +5,7 @@
 
 use super::flow::{FlowState, Waiting};
 use super::{Action, Context, lookup, opening};
-use crate::relay::{DropReason, Packet, ResetReason};
+use crate::relay::{Decision, DropReason, Packet, ResetReason};
 
 /// A packet that the upstream has returned, since it doesn't hold the flow or takes no new one.
 pub(super) fn on_returned(cx: &mut Context<'_>, packet: &Packet, bytes: Bytes) {
@@ -34,6 +34,7 @@
             cx.with_meter(|meter| known.close(cx.now, meter));
             known.caller_ack = packet.ack;
             cx.count(|c| c.reset += 1);
+            cx.note(packet.tuple, Decision::UpstreamLostFlow, None, 0);
             cx.actions.push(known.reset(ResetReason::UpstreamLostFlow));
         }
         FlowState::Accepted | FlowState::Presumed => {
@@ -71,6 +72,8 @@
             FlowState::Offered(offered) if packet.syn => {
                 let balancer = offered.balancer;
                 cx.with_meter(|meter| known.open(FlowState::Accepted, meter));
+                let micros = cx.micros_since(known.since);
+                cx.note(packet.tuple, Decision::FlowAccepted, None, micros);
                 cx.send(balancer, RelayBody::Accepted(packet.tuple));
                 let owner = cx.candidates().and_then(|c| c.owner(flow));
                 let owner = owner.map(|owner| owner.agent);
--- a/crates/plantainquay_core/src/relay/balancer.rs
+++ b/crates/plantainquay_core/src/relay/balancer.rs
@@ -16,7 +16,7 @@
 
 use self::cache::{CacheShard, Cached, Pending};
 use super::pause::PauseMeter;
-use super::{Action, Actions, CandidateState, DropReason, Packet, RelayView, ResetReason};
+use super::{Action, Actions, CandidateState, Decision, DropReason, Packet, RelayView, ResetReason};
 use crate::Timestamp;
 
 /// Time after which an opening packet without an answer is sent to another agent.
@@ -235,6 +235,8 @@
         shard.insert(flow, cached);
         shard.due.push(self.now + OPENING_RETRY, flow);
         self.count(|c| c.openings += 1);
+        let copies = u64::from(packet.ack);
+        self.note(packet.tuple, Decision::OpeningSent, agent, Some(copies));
         self.send_opening(service, agent, bytes, false);
     }
 
@@ -260,6 +262,7 @@
                 cached.caller_ack = packet.ack;
                 shard.insert(flow, cached);
                 self.count(|c| c.to_owner += 1);
+                self.note(packet.tuple, Decision::OwnerAsked, owner, None);
                 (service, owner)
             }
         };
@@ -364,7 +367,9 @@
         cached.agent = agent;
         let packet = pending.packet.clone();
         let service = cached.service;
+        let tries = u64::from(pending.tries);
         self.count(|c| c.retried_openings += 1);
+        self.note(cached.tuple, Decision::OpeningRetried, agent, Some(tries));
         self.send_opening(service, agent, packet, false);
         true
     }
@@ -419,6 +424,17 @@
             .push(Action::Send(to, RelayMessage { service, body }));
     }
 
+    fn note(
+        &mut self,
+        tuple: FiveTuple,
+        decision: Decision,
+        agent: SocketAddr,
+        number: Option<u64>,
+    ) {
+        let note = self.view.note(tuple, decision, Some(agent), number);
+        self.actions.push(note);
+    }
+
     fn reset(&mut self, tuple: FiveTuple, ack: u32, reason: ResetReason) {
         self.count(|c| c.reset += 1);
         self.actions.push(Action::Reset { tuple, ack, reason });
--- a/crates/plantainquay_core/src/relay/balancer/cache.rs
+++ b/crates/plantainquay_core/src/relay/balancer/cache.rs
@@ -27,7 +27,7 @@
 /// One flow and the agent that its packets go to.
 #[derive(Debug)]
 pub(super) struct Cached {
-    tuple: FiveTuple,
+    pub(super) tuple: FiveTuple,
     pub(super) service: ServiceId,
     pub(super) agent: SocketAddr,
     pub(super) last_packet: Timestamp,
--- a/crates/plantainquay_core/src/relay/view.rs
+++ b/crates/plantainquay_core/src/relay/view.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 
 use plantainquay_schema::{
-    FlowId, Generation, Name, Route, ServiceId, UpstreamEntry, WeightedService,
+    FiveTuple, FlowId, Generation, Name, Route, ServiceId, UpstreamEntry, WeightedService,
 };
 use smallvec::SmallVec;
 
+use super::{Action, Decision, Note};
 use crate::rendezvous::{mix, weighted};
 use crate::{Fleet, Known, Timestamp};
 
@@ -19,6 +20,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct RelayView {
     generation: Generation,
+    revision: u64,
     routes: Arc<HashMap<SocketAddr, Route>>,
     services: HashMap<ServiceId, ServiceCandidates>,
 }
@@ -77,6 +79,7 @@
         fleet.former(now).for_each(|known| add(known, true));
         Self {
             generation: document.generation,
+            revision: fleet.revision(),
             routes,
             services,
         }
@@ -88,6 +91,30 @@
         self.generation
     }
 
+    /// Revision of the store up to which the upstreams are known.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// A note of a decision that this view has led to.
+    pub(super) fn note(
+        &self,
+        tuple: FiveTuple,
+        decision: Decision,
+        agent: Option<SocketAddr>,
+        number: Option<u64>,
+    ) -> Action {
+        Action::Note(Note {
+            tuple,
+            decision,
+            agent,
+            number,
+            generation: self.generation,
+            revision: self.revision,
+        })
+    }
+
     /// The route of an address and port; there is no default.
     #[must_use]
     pub fn route(&self, listener: SocketAddr) -> Option<&Route> {
--- /dev/null
+++ b/crates/plantainquay_net/src/log_sink.rs
@@ -0,0 +1,120 @@
+//! Log lines on their way to standard output.
+//!
+//! A thread of its own writes; whoever logs never waits for a reader of the output. Lines beyond
+//! a budget for each event are left out and counted.
+
+use std::collections::HashMap;
+use std::io::{self, Write};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, LazyLock};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+
+/// Lines that wait for the writer; more are left out.
+const MAX_WAITING: usize = 2_048;
+/// Lines of one event that are written in one [`WINDOW`].
+pub(crate) const LINES_PER_WINDOW: u32 = 200;
+const WINDOW: Duration = Duration::from_secs(1);
+/// Stack of the writing thread, in bytes.
+const STACK_BYTES: usize = 64 << 10;
+
+/// Takes whole lines and hands them to the writing thread.
+#[derive(Debug)]
+pub struct LogSink {
+    line: Vec<u8>,
+    lines: SyncSender<Vec<u8>>,
+    left_out: Arc<Mutex<u64>>,
+}
+
+impl LogSink {
+    /// Starts the thread that writes to `out`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the thread can't be started.
+    pub fn start(out: impl Write + Send + 'static) -> io::Result<Self> {
+        let (tx, rx) = sync_channel(MAX_WAITING);
+        let left_out = Arc::<Mutex<u64>>::default();
+        let counted = Arc::clone(&left_out);
+        let builder = thread::Builder::new().name("log".to_owned());
+        builder
+            .stack_size(STACK_BYTES)
+            .spawn(move || write_lines(&rx, &counted, out))?;
+        Ok(Self {
+            line: Vec::new(),
+            lines: tx,
+            left_out,
+        })
+    }
+
+    fn hand_over(&mut self) {
+        let line = std::mem::take(&mut self.line);
+        match self.lines.try_send(line) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                *self.left_out.lock() += 1;
+            }
+        }
+    }
+}
+
+impl Write for LogSink {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(buf);
+        if self.line.ends_with(b"\n") {
+            self.hand_over();
+        }
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn write_lines(lines: &Receiver<Vec<u8>>, left_out: &Mutex<u64>, mut out: impl Write) {
+    while let Ok(line) = lines.recv() {
+        let missing = std::mem::take(&mut *left_out.lock());
+        // Nobody can be told that the output is gone.
+        let _written = out.write_all(&line);
+        if missing > 0 {
+            let _written = writeln!(out, "level=warn event=log_lines_lost lines={missing}");
+        }
+    }
+}
+
+/// Lines of one event in the current window.
+#[derive(Debug)]
+struct Budget {
+    since: Instant,
+    written: u32,
+    left_out: u64,
+}
+
+static BUDGETS: LazyLock<Mutex<HashMap<String, Budget>>> = LazyLock::new(Mutex::default);
+
+/// Whether one more line of the event may be written, and how many were left out before it.
+pub(crate) fn may_write(name: &str, now: Instant) -> Option<u64> {
+    let mut budgets = BUDGETS.lock();
+    if !budgets.contains_key(name) {
+        let budget = Budget {
+            since: now,
+            written: 0,
+            left_out: 0,
+        };
+        budgets.insert(name.to_owned(), budget);
+    }
+    let budget = budgets.get_mut(name)?;
+    if now.duration_since(budget.since) >= WINDOW {
+        budget.since = now;
+        budget.written = 0;
+    }
+    if budget.written >= LINES_PER_WINDOW {
+        budget.left_out += 1;
+        return None;
+    }
+    budget.written += 1;
+    Some(std::mem::take(&mut budget.left_out))
+}
--- a/crates/plantainquay_net/src/logging.rs
+++ b/crates/plantainquay_net/src/logging.rs
@@ -1,20 +1,28 @@
 //! One line of key=value pairs for each event, and the metrics recorder.
 
 use std::fmt::{Display, Write as _};
+use std::time::Instant;
 
 use log::Level;
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 
+use crate::log_sink::may_write;
+
 /// Bounds of the buckets of every histogram, in seconds.
 const HISTOGRAM_BUCKETS: [f64; 14] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0, 60.0, 600.0, 3600.0,
 ];
 
 /// Logs one event as `level=… event=… key=value …`.
+///
+/// Events of one name beyond a budget for each second are left out; the next line counts them.
 pub fn event(level: Level, name: &str, pairs: &[(&str, &dyn Display)]) {
     if level > log::max_level() {
         return;
     }
+    let Some(left_out) = may_write(name, Instant::now()) else {
+        return;
+    };
     let mut line = format!("level={} event={name}", level.as_str().to_ascii_lowercase());
     for (key, value) in pairs {
         line.push(' ');
@@ -22,6 +30,10 @@
         line.push('=');
         push_value(&mut line, &value.to_string());
     }
+    if left_out > 0 {
+        // Writing to a string never fails.
+        let _infallible = write!(line, " left_out={left_out}");
+    }
     log::log!(target: "plantainquay", level, "{line}");
 }
 
--- a/crates/plantainquay_net/src/relay/carrier.rs
+++ b/crates/plantainquay_net/src/relay/carrier.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use log::Level;
-use plantainquay_core::relay::{Action, Actions, Packet};
+use plantainquay_core::relay::{Action, Actions, Note, Packet};
 use plantainquay_schema::{RelayBody, RelayMessage};
 use thiserror::Error;
 
@@ -91,6 +91,7 @@
                     self.send_to_caller(tuple.source, &packet);
                 }
             }
+            Action::Note(note) => log_note(&note),
             Action::Drop(reason) => event(Level::Debug, "packet_dropped", &[("reason", &reason)]),
         }
     }
@@ -131,6 +132,22 @@
     }
 }
 
+/// Logs a decision with what it was based on.
+fn log_note(note: &Note) {
+    let agent = note.agent.map(|agent| agent.ip().to_string());
+    let agent = agent.unwrap_or_else(|| "none".to_owned());
+    let number = note.number.unwrap_or(0);
+    let pairs: [(&str, &dyn std::fmt::Display); 6] = [
+        ("caller", &note.tuple.source),
+        ("listener", &note.tuple.destination),
+        ("agent", &agent),
+        ("number", &number),
+        ("generation", &note.generation),
+        ("revision", &note.revision),
+    ];
+    event(Level::Info, &note.decision.to_string(), &pairs);
+}
+
 /// The packet inside a message.
 fn carried(body: &RelayBody) -> Option<&Bytes> {
     match body {
--- a/crates/plantainquayd/src/daemon.rs
+++ b/crates/plantainquayd/src/daemon.rs
@@ -10,12 +10,12 @@
 use ntex::time::{Millis, sleep};
 use plantainquay_core::Documents;
 use plantainquay_net::{
-    Clock, DocumentStore, Gossip, HttpState, InstanceView, PlatformReader, Sealer, event,
+    Clock, DocumentStore, Gossip, HttpState, InstanceView, LogSink, PlatformReader, Sealer, event,
     init_metrics, serve_http,
 };
 use plantainquay_schema::wire::status::Status;
 use plantainquay_schema::{Role, Settings};
-use simplelog::{ConfigBuilder, SimpleLogger};
+use simplelog::{ConfigBuilder, WriteLogger};
 use tokio::runtime::Runtime;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::oneshot;
@@ -111,7 +111,8 @@
         .set_target_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
         .build();
-    SimpleLogger::init(level, config).context("log")
+    let sink = LogSink::start(io::stdout()).context("log")?;
+    WriteLogger::init(level, config, sink).context("log")
 }
 
 fn instance_view(role: &Arc<RoleRuntime>) -> InstanceView {
