--- a/crates/plantainquay_core/src/relay/agent.rs
+++ b/crates/plantainquay_core/src/relay/agent.rs
@@ -14,7 +14,9 @@
 use plantainquay_schema::{FiveTuple, FlowId, RelayBody, RelayMessage, ServiceId};
 
 use self::flow::FlowShard;
-use super::{Action, Actions, Decision, DropReason, LoadMeter, Packet, RelayView, ServiceCandidates};
+use super::{
+    Action, Actions, Decision, DropReason, LoadMeter, Packet, RelayView, ServiceCandidates,
+};
 use crate::Timestamp;
 
 /// Fixed facts about an agent.
--- a/crates/plantainquay_core/src/relay/agent/established.rs
+++ b/crates/plantainquay_core/src/relay/agent/established.rs
@@ -24,7 +24,7 @@
     let flow = packet.tuple.flow_id();
     let mut shard = cx.agent.shard(flow);
     if shard.get_mut(flow, &packet.tuple).is_none() {
-        let state = FlowState::Tried(Trial::new(cx.now, None));
+        let state = FlowState::Tried(Box::new(Trial::new(cx.now, None)));
         shard.due.push(cx.now + lookup::TRIAL_TIME, flow);
         if let Some(known) = shard.insert(cx.now, packet.tuple, state) {
             try_upstream(cx, known, established, packet);
@@ -66,7 +66,7 @@
         }
         FlowState::Elsewhere(_) => {
             // The holder is gone, or two agents believe that the other holds the flow.
-            known.state = FlowState::Tried(Trial::new(cx.now, None));
+            known.state = FlowState::Tried(Box::new(Trial::new(cx.now, None)));
             try_upstream(cx, known, established, packet);
             shard.due.push(cx.now + lookup::TRIAL_TIME, flow);
         }
--- a/crates/plantainquay_core/src/relay/agent/flow.rs
+++ b/crates/plantainquay_core/src/relay/agent/flow.rs
@@ -127,13 +127,13 @@
 
 impl Trial {
     /// A trial that begins with the next packet.
-    pub(super) fn new(now: Timestamp, asker: Option<SocketAddr>) -> Box<Self> {
-        Box::new(Self {
+    pub(super) fn new(now: Timestamp, asker: Option<SocketAddr>) -> Self {
+        Self {
             since: now,
             given: 0,
             asker,
             waiting: Waiting::new(),
-        })
+        }
     }
 }
 
--- a/crates/plantainquay_core/src/relay/agent/lookup.rs
+++ b/crates/plantainquay_core/src/relay/agent/lookup.rs
@@ -7,11 +7,9 @@
 use plantainquay_schema::{EstablishedPacket, FiveTuple, FlowId, RelayBody};
 use smallvec::SmallVec;
 
-use super::flow::{
-    Flow, FlowShard, FlowState, Holder, Lookup, Trial, Waiting, established,
-};
+use super::flow::{Flow, FlowShard, FlowState, Holder, Lookup, Trial, Waiting, established};
 use super::{Action, Context};
-use crate::relay::{Candidate, CandidateState, Decision, DropReason, Packet};
+use crate::relay::{Candidate, CandidateState, Decision, DropReason, Packet, ServiceCandidates};
 
 /// Time without a returned packet after which the upstream is taken to hold a tried flow.
 ///
@@ -50,7 +48,7 @@
         // Only the upstream's reaction tells, whatever was thought before.
         cx.with_meter(|meter| known.close(cx.now, meter));
     }
-    let state = FlowState::Tried(Trial::new(cx.now, Some(from)));
+    let state = FlowState::Tried(Box::new(Trial::new(cx.now, Some(from))));
     shard.due.push(cx.now + TRIAL_TIME, flow);
     if let Some(known) = shard.insert(cx.now, packet.tuple, state) {
         super::established::try_upstream(cx, known, probe, packet);
@@ -114,7 +112,7 @@
     let others: SmallVec<[SocketAddr; 16]> = cx
         .candidates()
         .into_iter()
-        .flat_map(|candidates| candidates.all())
+        .flat_map(ServiceCandidates::all)
         .map(|candidate| candidate.agent)
         .filter(|agent| *agent != own && !lookup.denied.contains(agent))
         .collect();
--- a/crates/plantainquay_core/src/relay/agent/opening.rs
+++ b/crates/plantainquay_core/src/relay/agent/opening.rs
@@ -26,10 +26,7 @@
     if let Some(known) = shard.get_mut(flow, &packet.tuple) {
         match &known.state {
             // A copy of an opening packet goes where the first one went.
-            FlowState::Offered(_)
-            | FlowState::Accepted
-            | FlowState::Presumed
-            | FlowState::Open => {
+            FlowState::Offered(_) | FlowState::Accepted | FlowState::Presumed | FlowState::Open => {
                 known.last_packet = cx.now;
                 if known.is_counted() {
                     cx.send(opening.balancer, RelayBody::Accepted(packet.tuple));
@@ -70,7 +67,12 @@
         }
         opening.chosen = false;
         cx.count(|c| c.passed_on += 1);
-        cx.note(packet.tuple, Decision::OpeningPassedOn, Some(next), load.into());
+        cx.note(
+            packet.tuple,
+            Decision::OpeningPassedOn,
+            Some(next),
+            load.into(),
+        );
         return cx.send(next, RelayBody::Opening(opening));
     }
     match opening.best {
--- a/crates/plantainquay_core/src/relay/balancer.rs
+++ b/crates/plantainquay_core/src/relay/balancer.rs
@@ -16,7 +16,9 @@
 
 use self::cache::{CacheShard, Cached, Pending};
 use super::pause::PauseMeter;
-use super::{Action, Actions, CandidateState, Decision, DropReason, Packet, RelayView, ResetReason};
+use super::{
+    Action, Actions, CandidateState, Decision, DropReason, Packet, RelayView, ResetReason,
+};
 use crate::Timestamp;
 
 /// Time after which an opening packet without an answer is sent to another agent.
--- a/crates/plantainquay_core/src/relay/sources.rs
+++ b/crates/plantainquay_core/src/relay/sources.rs
@@ -48,7 +48,9 @@
         .collect();
     let local = agents.iter().filter(|agent| !agent.is_remote).count();
     if local < FAN_OUT {
-        agents.iter_mut().for_each(|agent| agent.is_remote = false);
+        for agent in &mut agents {
+            agent.is_remote = false;
+        }
     }
     agents.sort_unstable();
     let serving = agents.len().div_ceil(FAN_OUT).max(MIN_SOURCES);
--- a/crates/plantainquay_net/tests/log_sink.rs
+++ b/crates/plantainquay_net/tests/log_sink.rs
@@ -46,7 +46,10 @@
     for i in 0..LINES {
         writeln!(sink, "event=test line={i}").expect("the sink takes every line");
     }
-    assert!(start.elapsed() < Duration::from_secs(5), "lines are handed over at once");
+    assert!(
+        start.elapsed() < Duration::from_secs(5),
+        "lines are handed over at once"
+    );
     tx.send(()).expect("the output waits");
     let deadline = Instant::now() + Duration::from_secs(10);
     while !written.lock().contains("log_lines_lost") && Instant::now() < deadline {
--- a/crates/plantainquay_trace/src/relay/network.rs
+++ b/crates/plantainquay_trace/src/relay/network.rs
@@ -18,7 +18,7 @@
     Message {
         from: SocketAddr,
         to: SocketAddr,
-        message: RelayMessage,
+        message: Box<RelayMessage>,
     },
     /// A packet of an upstream, or one that it returns, at its agent.
     FromUpstream {
--- a/crates/plantainquay_trace/src/relay/upstream.rs
+++ b/crates/plantainquay_trace/src/relay/upstream.rs
@@ -31,7 +31,9 @@
         if packet.is_opening() {
             return self.accept(packet.flow);
         }
-        if self.half_open.contains(&packet.flow) && (packet.upstream, packet.life) == (own, self.life) {
+        if self.half_open.contains(&packet.flow)
+            && (packet.upstream, packet.life) == (own, self.life)
+        {
             self.half_open.remove(&packet.flow);
             self.open.insert(packet.flow);
         }
--- a/crates/plantainquay_trace/src/relay/world.rs
+++ b/crates/plantainquay_trace/src/relay/world.rs
@@ -243,7 +243,12 @@
                 let described = describe(&packet, false);
                 balancer.on_packet(now, process.view_age(now), &described, packet)
             }
-            (Arrival::FromUpstream { packet, returned, .. }, Role::Agent(agent)) => {
+            (
+                Arrival::FromUpstream {
+                    packet, returned, ..
+                },
+                Role::Agent(agent),
+            ) => {
                 let described = describe(&packet, returned);
                 agent.on_upstream_packet(now, &described, packet)
             }
@@ -255,7 +260,7 @@
                     }
                     _ => None,
                 };
-                process.on_message(now, from, message, packet.as_ref())
+                process.on_message(now, from, *message, packet.as_ref())
             }
             _ => Actions::new(),
         }
@@ -270,6 +275,7 @@
                     self.network.send(self.now_ms, Arrival::AtCaller { packet });
                 }
                 Action::Send(to, message) => {
+                    let message = Box::new(message);
                     let arrival = Arrival::Message { from, to, message };
                     self.network.send(self.now_ms, arrival);
                 }
@@ -374,7 +380,11 @@
 
     /// Callers repeat an opening packet only until an upstream has answered it.
     fn repeat_opening(&mut self, flow: u16, via: &str) {
-        if self.flows.get(&flow).is_some_and(|flow| flow.chosen.is_none()) {
+        if self
+            .flows
+            .get(&flow)
+            .is_some_and(|flow| flow.chosen.is_none())
+        {
             self.send_from_caller(flow, Kind::Reopen, via);
         }
     }
--- a/crates/plantainquay_trace/tests/relay_replay.rs
+++ b/crates/plantainquay_trace/tests/relay_replay.rs
@@ -22,6 +22,9 @@
     insta::with_settings!({ omit_expression => true, prepend_module_to_snapshot => false }, {
         insta::assert_snapshot!(format!("relay_{name}"), rendered);
     });
-    assert_eq!(summary.broken, 0, "a flow was reset while its upstream held it");
+    assert_eq!(
+        summary.broken, 0,
+        "a flow was reset while its upstream held it"
+    );
     assert_eq!(summary.astray, 0, "a flow's packets went astray");
 }
--- a/crates/plantainquayd/src/relay.rs
+++ b/crates/plantainquayd/src/relay.rs
@@ -2,8 +2,8 @@
 
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, OnceLock};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use anyhow::Context;
