--- a/crates/plantainquay_net/src/relay/follow.rs
+++ b/crates/plantainquay_net/src/relay/follow.rs
@@ -17,7 +17,7 @@
 use crate::event;
 
 /// Longest wait for changes at another process.
-pub(super) const SOURCE_WAIT: Duration = Duration::from_millis(1_000);
+pub(super) const SOURCE_WAIT: Duration = Duration::from_secs(1);
 /// Time beyond the wait after which a source is taken to be gone.
 const SOURCE_GRACE: Duration = Duration::from_millis(400);
 /// Age of a source's state above which another source is asked.
@@ -28,7 +28,7 @@
 const BATCH_PAUSE: Millis = Millis(40);
 /// First and last pause after a failed read of the store; it doubles in between.
 const FIRST_RETRY: Duration = Duration::from_millis(50);
-const LAST_RETRY: Duration = Duration::from_millis(1_000);
+const LAST_RETRY: Duration = Duration::from_secs(1);
 /// Largest answer of another process, in bytes.
 const MAX_ANSWER_BYTES: usize = 32 << 20;
 
@@ -121,11 +121,11 @@
         match answer {
             Ok(Ok(changes)) => Some(changes),
             Ok(Err(error)) => {
-                self.log_source_lost(source, &error);
+                log_source_lost(source, &error);
                 None
             }
             Err(()) => {
-                self.log_source_lost(source, &"timeout");
+                log_source_lost(source, &"timeout");
                 None
             }
         }
@@ -139,7 +139,7 @@
         }
         let body = response.body().limit(MAX_ANSWER_BYTES).await;
         let body = body.map_err(|error| error.to_string())?;
-        let changes = wire::fleet::Changes::decode(&body[..]).map_err(|e| e.to_string())?;
+        let changes = wire::fleet::Changes::decode(body).map_err(|e| e.to_string())?;
         Changes::try_from(changes).map_err(|faults| faults.to_string())
     }
 
@@ -186,11 +186,11 @@
         self.is_connected = false;
         event(Level::Warn, "store_lost", &[("reason", error)]);
     }
+}
 
-    fn log_source_lost(&self, source: SocketAddr, reason: &dyn fmt::Display) {
-        let pairs: [(&str, &dyn fmt::Display); 2] = [("source", &source), ("reason", reason)];
-        event(Level::Warn, "source_lost", &pairs);
-    }
+fn log_source_lost(source: SocketAddr, reason: &dyn fmt::Display) {
+    let pairs: [(&str, &dyn fmt::Display); 2] = [("source", &source), ("reason", reason)];
+    event(Level::Warn, "source_lost", &pairs);
 }
 
 /// A pause of 75% to 125% of `mean`, so that processes don't retry together.
--- a/crates/plantainquay_net/src/relay/http.rs
+++ b/crates/plantainquay_net/src/relay/http.rs
@@ -118,8 +118,8 @@
     };
     // Nothing new in time is an answer as well: the state is confirmed.
     let _in_time = timeout(wait, wait_for_news).await;
-    let changes = state.fleet.changes_since(generation, asker.revision);
-    let body = wire::fleet::Changes::from(&changes).encode_to_vec();
+    let newer = state.fleet.changes_since(generation, asker.revision);
+    let body = wire::fleet::Changes::from(&newer).encode_to_vec();
     HttpResponse::Ok()
         .content_type("application/x-protobuf")
         .body(body)
