Read the store again soon while nothing is known

Change: 150 ms at most until the first confirmed state; those that know what is in force keep a second, so a long outage costs no more calls.

--- a/crates/plantainquay_net/src/relay/follow.rs
+++ b/crates/plantainquay_net/src/relay/follow.rs
@@ -29,6 +29,8 @@
 /// First and last pause after a failed read of the store; it doubles in between.
 const FIRST_RETRY: Duration = Duration::from_millis(50);
 const LAST_RETRY: Duration = Duration::from_secs(1);
+/// Last pause of a process that doesn't know yet what is in force, and can't serve until it does.
+const LAST_RETRY_UNCONFIRMED: Duration = Duration::from_millis(150);
 /// Largest answer of another process, in bytes.
 const MAX_ANSWER_BYTES: usize = 32 << 20;
 
@@ -146,6 +148,7 @@
     /// Reads the store once: everything, or what has changed since the last read.
     async fn read_store(&mut self) {
         let (_, revision, _) = self.known();
+        let was_confirmed = self.state.age(self.state.now()).is_some();
         let read = if self.has_read_whole {
             (self.store.watch)(revision).await
         } else {
@@ -168,7 +171,12 @@
             Err(error) => {
                 self.log_store_lost(&error);
                 sleep(jittered(self.retry, self.state.now().0)).await;
-                self.retry = (self.retry * 2).min(LAST_RETRY);
+                let last = if was_confirmed {
+                    LAST_RETRY
+                } else {
+                    LAST_RETRY_UNCONFIRMED
+                };
+                self.retry = (self.retry * 2).min(last);
             }
         }
     }
