Leave a source of changes as soon as it has lost the store

Cause: a process that heard from a source kept to it until the source's state was 4.5 s old, though changes must be in force within 3 s; and in an outage every process read the store each second, which is priced. Ruled out: a watch in each process (prices grow with the fleet).

--- a/crates/plantainquay_core/src/fleet.rs
+++ b/crates/plantainquay_core/src/fleet.rs
@@ -118,6 +118,7 @@
             whole,
             upstreams: upstreams.map(|known| (*known.entry).clone()).collect(),
             departures: departed.map(|(id, d)| d.as_departure(id)).collect(),
+            is_cut_off: false,
         }
     }
 
--- a/crates/plantainquay_net/src/relay/fleet_state.rs
+++ b/crates/plantainquay_net/src/relay/fleet_state.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use log::Level;
@@ -20,6 +21,8 @@
 pub struct FleetState {
     inner: Mutex<Inner>,
     install: Mutex<Option<InstallView>>,
+    /// Whether neither the store nor another process tells what is in force.
+    is_cut_off: AtomicBool,
     /// Rises with each change.
     changed: watch::Sender<u64>,
     peer_port: u16,
@@ -46,6 +49,7 @@
         Self {
             inner: Mutex::default(),
             install: Mutex::new(None),
+            is_cut_off: AtomicBool::new(true),
             changed: watch::Sender::new(0),
             peer_port,
             clock,
@@ -105,7 +109,24 @@
     #[must_use]
     pub fn changes_since(&self, generation: Generation, revision: u64) -> Changes {
         let now = self.clock.now();
-        self.with(|fleet| fleet.changes_since(now, generation, revision))
+        let changes = self.with(|fleet| fleet.changes_since(now, generation, revision));
+        Changes {
+            is_cut_off: self.is_cut_off(),
+            ..changes
+        }
+    }
+
+    /// Whether neither the store nor another process tells what is in force.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.is_cut_off.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether the process hears what is in force; askers are told of a change at once.
+    pub fn set_cut_off(&self, is_cut_off: bool) {
+        if self.is_cut_off.swap(is_cut_off, Ordering::Relaxed) != is_cut_off {
+            self.changed.send_modify(|changes| *changes += 1);
+        }
     }
 
     /// Tells of each change from now on.
--- a/crates/plantainquay_net/src/relay/follow.rs
+++ b/crates/plantainquay_net/src/relay/follow.rs
@@ -9,6 +9,7 @@
 use ntex::client::Client;
 use ntex::http::StatusCode;
 use ntex::time::{Millis, sleep, timeout};
+use plantainquay_core::Timestamp;
 use plantainquay_core::relay::sources;
 use plantainquay_schema::{Changes, RelaySettings, wire};
 use prost::Message as _;
@@ -16,21 +17,29 @@
 use super::{FleetState, Freshness, StoreError, StoreReader};
 use crate::event;
 
-/// Longest wait for changes at another process.
-pub(super) const SOURCE_WAIT: Duration = Duration::from_secs(1);
+/// Longest wait for changes at a source.
+pub(super) const SOURCE_WAIT: Duration = Duration::from_millis(800);
 /// Time beyond the wait after which a source is taken to be gone.
 const SOURCE_GRACE: Duration = Duration::from_millis(400);
 /// Age of a source's state above which another source is asked.
 ///
-/// A source that watches confirms its state each time that a watch ends.
-const MAX_SOURCE_AGE: Duration = Duration::from_millis(4_500);
+/// With the wait for the answer that shows it, and a read of the store, changes are in force
+/// within three seconds although a source has lost the store without noticing.
+const MAX_SOURCE_AGE: Duration = Duration::from_millis(1_900);
+/// Failed reads in a row after which a process takes the store to be lost.
+const LOST_AFTER: u32 = 2;
+/// Pause before sources are asked again when none of them knows what is in force.
+const SOURCE_PAUSE: Millis = Millis(250);
 /// Pause after a change, so that changes that come together take one watch.
 const BATCH_PAUSE: Millis = Millis(40);
-/// First and last pause after a failed read of the store; it doubles in between.
+/// Pause after a failed read of the store at first; it doubles up to one of the limits below.
 const FIRST_RETRY: Duration = Duration::from_millis(50);
-const LAST_RETRY: Duration = Duration::from_secs(1);
-/// Last pause of a process that doesn't know yet what is in force, and can't serve until it does.
-const LAST_RETRY_UNCONFIRMED: Duration = Duration::from_millis(150);
+/// Limit for a process that doesn't know yet what is in force, and can't serve until it does.
+const RETRY_NEWCOMER: Duration = Duration::from_millis(150);
+/// Limit for a source, which many processes wait for.
+const RETRY_SOURCE: Duration = Duration::from_millis(300);
+/// Limit for the others, which hear from a source when the store is back.
+const RETRY_FOLLOWER: Duration = Duration::from_secs(5);
 /// Largest answer of another process, in bytes.
 const MAX_ANSWER_BYTES: usize = 32 << 20;
 
@@ -42,14 +51,20 @@
         store,
         client: Client::new().await,
         retry: FIRST_RETRY,
-        has_read_whole: false,
+        failures: 0,
+        next_read: Timestamp::default(),
+        can_watch: false,
         is_connected: false,
     };
     follower.start().await;
     loop {
         let sources = follower.sources();
-        if sources.is_empty() || !follower.follow_sources(&sources).await {
-            follower.read_store().await;
+        if sources.is_empty() {
+            follower.read_store(RETRY_SOURCE).await;
+            follower.pause_until_next_read().await;
+        } else if !follower.follow_sources(&sources).await {
+            follower.read_store(RETRY_FOLLOWER).await;
+            sleep(SOURCE_PAUSE).await;
         }
     }
 }
@@ -59,9 +74,14 @@
     state: Arc<FleetState>,
     store: StoreReader,
     client: Client,
+    /// Pause after the next failed read of the store.
     retry: Duration,
+    /// Failed reads since the last good one.
+    failures: u32,
+    /// Moment before which the store is not read again.
+    next_read: Timestamp,
     /// Whether a watch may continue from the revision that is known.
-    has_read_whole: bool,
+    can_watch: bool,
     is_connected: bool,
 }
 
@@ -70,7 +90,7 @@
     async fn start(&mut self) {
         match (self.store.whole)(Freshness::MayLag).await {
             Ok(changes) => self.state.apply(changes, "store"),
-            Err(error) => self.log_store_lost(&error),
+            Err(error) => self.note_failure(&error, RETRY_NEWCOMER),
         }
     }
 
@@ -84,23 +104,27 @@
         })
     }
 
-    /// Hears of changes from one source after the other, for as long as one of them is of use.
+    /// Hears of changes from the first source that knows what is in force, for as long as it does;
+    /// returns whether there was one.
     async fn follow_sources(&mut self, sources: &[SocketAddr]) -> bool {
         for source in sources {
-            let mut any = false;
-            while let Some(changes) = self.ask(*source).await {
+            let mut wait = Duration::ZERO;
+            while let Some(changes) = self.ask(*source, wait).await {
                 let is_confirmed = changes.age.is_some_and(|age| age <= MAX_SOURCE_AGE);
+                let is_of_use = is_confirmed && !changes.is_cut_off;
                 self.state.apply(changes, "peer");
-                if !is_confirmed {
+                if !is_of_use {
                     break;
                 }
-                any = true;
+                self.state.set_cut_off(false);
+                self.can_watch = false;
+                wait = SOURCE_WAIT;
                 if !self.sources().contains(source) {
                     return true;
                 }
             }
-            self.has_read_whole = false;
-            if any {
+            if wait > Duration::ZERO {
+                // The source was of use until now: choose again at once.
                 return true;
             }
         }
@@ -108,19 +132,15 @@
     }
 
     /// Asks a source for changes; none when it doesn't answer.
-    async fn ask(&self, source: SocketAddr) -> Option<Changes> {
-        let (generation, revision, is_confirmed) = self.known();
-        let wait = if is_confirmed {
-            SOURCE_WAIT
-        } else {
-            Duration::ZERO
-        };
+    async fn ask(&self, source: SocketAddr, wait: Duration) -> Option<Changes> {
+        let (generation, revision) = self
+            .state
+            .with(|fleet| (fleet.routes().generation.0, fleet.revision()));
         let url = format!(
             "http://{source}/v1/changes?generation={generation}&revision={revision}&wait_ms={}",
             wait.as_millis()
         );
-        let answer = timeout(wait + SOURCE_GRACE, self.fetch(&url)).await;
-        match answer {
+        match timeout(wait + SOURCE_GRACE, self.fetch(&url)).await {
             Ok(Ok(changes)) => Some(changes),
             Ok(Err(error)) => {
                 log_source_lost(source, &error);
@@ -141,58 +161,67 @@
         }
         let body = response.body().limit(MAX_ANSWER_BYTES).await;
         let body = body.map_err(|error| error.to_string())?;
-        let changes = wire::fleet::Changes::decode(body).map_err(|e| e.to_string())?;
+        let changes = wire::fleet::Changes::decode(body).map_err(|error| error.to_string())?;
         Changes::try_from(changes).map_err(|faults| faults.to_string())
     }
 
-    /// Reads the store once: everything, or what has changed since the last read.
-    async fn read_store(&mut self) {
-        let (_, revision, _) = self.known();
-        let was_confirmed = self.state.age(self.state.now()).is_some();
-        let read = if self.has_read_whole {
+    /// Reads the store once, unless a failure was a moment ago: everything, or what has changed
+    /// since the last read.
+    async fn read_store(&mut self, longest_retry: Duration) {
+        if self.state.now() < self.next_read {
+            return;
+        }
+        let revision = self.state.with(plantainquay_core::Fleet::revision);
+        let read = if self.can_watch {
             (self.store.watch)(revision).await
         } else {
             (self.store.whole)(Freshness::Current).await
         };
         match read {
-            Ok(changes) => {
-                let any = !changes.upstreams.is_empty() || !changes.departures.is_empty();
-                self.state.apply(changes, "store");
-                self.has_read_whole = true;
-                self.retry = FIRST_RETRY;
-                if !std::mem::replace(&mut self.is_connected, true) {
-                    event(Level::Info, "store_connected", &[]);
-                }
-                if any {
-                    sleep(BATCH_PAUSE).await;
-                }
-            }
-            Err(StoreError::HistoryGone) => self.has_read_whole = false,
-            Err(error) => {
-                self.log_store_lost(&error);
-                sleep(jittered(self.retry, self.state.now().0)).await;
-                let last = if was_confirmed {
-                    LAST_RETRY
-                } else {
-                    LAST_RETRY_UNCONFIRMED
-                };
-                self.retry = (self.retry * 2).min(last);
-            }
+            Ok(changes) => self.note_success(changes).await,
+            Err(StoreError::HistoryGone) => self.can_watch = false,
+            Err(error) => self.note_failure(&error, longest_retry),
         }
     }
 
-    fn known(&self) -> (u64, u64, bool) {
-        let now = self.state.now();
-        self.state.with(|fleet| {
-            let age = fleet.age(now);
-            let is_confirmed = age.is_some_and(|age| age <= MAX_SOURCE_AGE);
-            (fleet.routes().generation.0, fleet.revision(), is_confirmed)
-        })
+    async fn note_success(&mut self, changes: Changes) {
+        let any = !changes.upstreams.is_empty() || !changes.departures.is_empty();
+        self.state.apply(changes, "store");
+        self.state.set_cut_off(false);
+        self.can_watch = true;
+        self.retry = FIRST_RETRY;
+        self.failures = 0;
+        if !std::mem::replace(&mut self.is_connected, true) {
+            event(Level::Info, "store_connected", &[]);
+        }
+        if any {
+            sleep(BATCH_PAUSE).await;
+        }
     }
 
-    fn log_store_lost(&mut self, error: &StoreError) {
+    fn note_failure(&mut self, error: &StoreError, longest_retry: Duration) {
+        let now = self.state.now();
+        self.failures += 1;
+        if self.failures >= LOST_AFTER {
+            self.state.set_cut_off(true);
+        }
         self.is_connected = false;
         event(Level::Warn, "store_lost", &[("reason", error)]);
+        self.next_read = now + jittered(self.retry, now.0);
+        let is_newcomer = self.state.age(now).is_none();
+        let longest = if is_newcomer {
+            RETRY_NEWCOMER
+        } else {
+            longest_retry
+        };
+        self.retry = (self.retry * 2).min(longest);
+    }
+
+    async fn pause_until_next_read(&self) {
+        let left = self.next_read.since(self.state.now());
+        if left > Duration::ZERO {
+            sleep(Millis(u32::try_from(left.as_millis()).unwrap_or(u32::MAX))).await;
+        }
     }
 }
 
@@ -202,9 +231,7 @@
 }
 
 /// A pause of 75% to 125% of `mean`, so that processes don't retry together.
-fn jittered(mean: Duration, seed: u64) -> Millis {
-    let millis = u64::try_from(mean.as_millis()).unwrap_or(u64::MAX);
-    let spread = (millis / 2).max(1);
-    let millis = millis - millis / 4 + seed % spread;
-    Millis(u32::try_from(millis).unwrap_or(u32::MAX))
+fn jittered(mean: Duration, seed: u64) -> Duration {
+    let spread = u64::try_from(mean.as_micros() / 2).unwrap_or(u64::MAX);
+    mean * 3 / 4 + Duration::from_micros(seed % spread.max(1))
 }
--- a/crates/plantainquay_net/src/relay/http.rs
+++ b/crates/plantainquay_net/src/relay/http.rs
@@ -110,7 +110,7 @@
         fleet.with(|fleet| fleet.is_newer_than(generation, asker.revision))
     };
     let wait_for_news = async {
-        while !is_newer() {
+        while !is_newer() && !state.fleet.is_cut_off() {
             if changed.changed().await.is_err() {
                 break;
             }
--- a/crates/plantainquay_schema/src/fleet.rs
+++ b/crates/plantainquay_schema/src/fleet.rs
@@ -87,6 +87,8 @@
     pub upstreams: Vec<UpstreamEntry>,
     /// Entries that were removed.
     pub departures: Vec<Departure>,
+    /// Whether the sender can neither read the store nor hear from a process that can.
+    pub is_cut_off: bool,
 }
 
 impl Departure {
@@ -233,6 +235,7 @@
             whole: changes.whole,
             upstreams: changes.upstreams.iter().map(Into::into).collect(),
             departures: departures.collect(),
+            is_cut_off: changes.is_cut_off,
         }
     }
 }
@@ -253,6 +256,7 @@
             whole: changes.whole,
             upstreams: changes.upstreams.into_iter().map(Into::into).collect(),
             departures: departures.collect(),
+            is_cut_off: changes.is_cut_off,
         })
     }
 }
