--- a/crates/plantainquay_core/src/relay/action.rs
+++ b/crates/plantainquay_core/src/relay/action.rs
@@ -1,6 +1,7 @@
 //! What a front end is to do.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use plantainquay_schema::{FiveTuple, RelayMessage};
@@ -32,6 +33,13 @@
     },
     /// The packet is dropped.
     Drop(DropReason),
+    /// The upstream has begun to answer a request.
+    Answered {
+        /// Where the request's flow goes.
+        listener: SocketAddr,
+        /// Time since the request went to the upstream.
+        after: Duration,
+    },
     /// What was decided is written down.
     Note(Note),
 }
--- a/crates/plantainquay_core/src/relay/agent/upstream.rs
+++ b/crates/plantainquay_core/src/relay/agent/upstream.rs
@@ -64,9 +64,13 @@
     if let Some(known) = shard.get_mut(flow, &packet.tuple) {
         known.last_packet = cx.now;
         if packet.data_bytes > 0 || packet.fin || packet.reset {
-            cx.with_meter(|meter| {
-                known.end_request(cx.now, meter);
-            });
+            let begun = known.end_request(cx.now, &mut cx.agent.meter.lock());
+            if let Some(since) = begun.filter(|_| packet.data_bytes > 0) {
+                cx.actions.push(Action::Answered {
+                    listener: packet.tuple.destination,
+                    after: cx.now.since(since),
+                });
+            }
         }
         match &known.state {
             FlowState::Offered(offered) if packet.syn => {
--- a/crates/plantainquay_core/src/relay/note.rs
+++ b/crates/plantainquay_core/src/relay/note.rs
@@ -62,3 +62,14 @@
     #[error("upstream_lost_flow")]
     UpstreamLostFlow,
 }
+
+impl Decision {
+    /// Whether the number of a note is a time in microseconds.
+    #[must_use]
+    pub fn is_timed(self) -> bool {
+        matches!(
+            self,
+            Self::FlowAccepted | Self::LookupFound | Self::LookupLost
+        )
+    }
+}
--- a/crates/plantainquay_net/src/relay/carrier.rs
+++ b/crates/plantainquay_net/src/relay/carrier.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use log::Level;
+use metrics::histogram;
 use plantainquay_core::relay::{Action, Actions, Note, Packet};
 use plantainquay_schema::{RelayBody, RelayMessage};
 use thiserror::Error;
@@ -92,6 +93,10 @@
                 }
             }
             Action::Note(note) => log_note(&note),
+            Action::Answered { listener, after } => {
+                histogram!("relay_answer_seconds", "listener" => listener.to_string())
+                    .record(after);
+            }
             Action::Drop(reason) => event(Level::Debug, "packet_dropped", &[("reason", &reason)]),
         }
     }
@@ -146,6 +151,11 @@
         ("revision", &note.revision),
     ];
     event(Level::Info, &note.decision.to_string(), &pairs);
+    if note.decision.is_timed() {
+        let elapsed = Duration::from_micros(number);
+        histogram!("relay_decision_seconds", "decision" => note.decision.to_string())
+            .record(elapsed);
+    }
 }
 
 /// The packet inside a message.
--- a/crates/plantainquay_net/src/relay/metrics.rs
+++ b/crates/plantainquay_net/src/relay/metrics.rs
@@ -4,7 +4,33 @@
 
 use metrics::{counter, gauge};
 
-use super::{AgentThreads, BalancerThreads, Carrier};
+use super::{AgentThreads, BalancerThreads, Carrier, FleetState};
+
+impl FleetState {
+    /// Brings the metrics up to date with what is known.
+    pub fn refresh_metrics(&self) {
+        let now = self.now();
+        let (generation, revision, upstreams, age) = self.with(|fleet| {
+            let upstreams = fleet.current(now).count();
+            let generation = fleet.routes().generation.0;
+            (generation, fleet.revision(), upstreams, fleet.age(now))
+        });
+        // Without a label, a state that was never confirmed would look fresh.
+        if let Some(age) = age {
+            gauge!("relay_view_age_seconds").set(age.as_secs_f64());
+        }
+        gauge!("relay_routes_generation").set(to_f64(generation));
+        gauge!("relay_upstreams_revision").set(to_f64(revision));
+        gauge!("relay_upstreams").set(to_f64(upstreams as u64));
+        gauge!("relay_cut_off").set(if self.is_cut_off() { 1.0 } else { 0.0 });
+        gauge!("relay_build_info", "version" => env!("CARGO_PKG_VERSION")).set(1.0);
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+fn to_f64(count: u64) -> f64 {
+    count as f64
+}
 
 impl BalancerThreads {
     /// Brings the metrics up to date with the counters.
--- a/crates/plantainquay_trace/src/relay/world.rs
+++ b/crates/plantainquay_trace/src/relay/world.rs
@@ -283,7 +283,7 @@
                     let flow = tuple.source.port() - 10_000;
                     self.reset(index, flow, &reason);
                 }
-                Action::Drop(_) | Action::Note(_) => {}
+                Action::Drop(_) | Action::Note(_) | Action::Answered { .. } => {}
             }
         }
     }
--- a/crates/plantainquayd/src/relay.rs
+++ b/crates/plantainquayd/src/relay.rs
@@ -62,7 +62,7 @@
     let http = Arc::new(RelayHttp {
         is_ready: readiness(&fleet, &leaving),
         fleet: Arc::clone(&fleet),
-        refresh_metrics: refresh(&role),
+        refresh_metrics: refresh(&role, &fleet),
         recorder: OnceLock::new(),
     });
     let system = ntex::rt::System::build()
@@ -170,11 +170,15 @@
     })
 }
 
-fn refresh(role: &Arc<RelayThreads>) -> Box<dyn Fn() + Send + Sync> {
+fn refresh(role: &Arc<RelayThreads>, fleet: &Arc<FleetState>) -> Box<dyn Fn() + Send + Sync> {
     let role = Arc::clone(role);
-    Box::new(move || match &*role {
-        RelayThreads::Balancer(threads) => threads.refresh_metrics(),
-        RelayThreads::Agent(threads, _) => threads.refresh_metrics(),
+    let fleet = Arc::clone(fleet);
+    Box::new(move || {
+        fleet.refresh_metrics();
+        match &*role {
+            RelayThreads::Balancer(threads) => threads.refresh_metrics(),
+            RelayThreads::Agent(threads, _) => threads.refresh_metrics(),
+        }
     })
 }
 
