Pace requests at the agent: a short queue upstream, the newest first

Cause: after a final fault, and in bursts, the backlog fills every upstream's queue of eight; first come, first served then makes each request wait about 110 ms of a 100 ms target, so that all come late. Ruled out: better placement (every upstream is full); a shorter queue with refusals (a flow that is open can't be refused truthfully). Change: an upstream gets two requests for each slot; the others wait at the agent, the newest goes first.

--- a/crates/plantainquay_core/src/relay/agent.rs
+++ b/crates/plantainquay_core/src/relay/agent.rs
@@ -4,6 +4,7 @@
 mod flow;
 mod lookup;
 mod opening;
+mod pacing;
 mod upstream;
 
 use std::net::SocketAddr;
@@ -14,6 +15,7 @@
 use plantainquay_schema::{FiveTuple, FlowId, RelayBody, RelayMessage, ServiceId};
 
 use self::flow::FlowShard;
+use self::pacing::PacingQueue;
 use super::{
     Action, Actions, Decision, DropReason, LoadMeter, Packet, RelayView, ServiceCandidates,
 };
@@ -37,6 +39,7 @@
     view: RwLock<Arc<RelayView>>,
     shards: Vec<Mutex<FlowShard>>,
     meter: Mutex<LoadMeter>,
+    pacing: Mutex<PacingQueue>,
     counters: Mutex<AgentCounters>,
 }
 
@@ -74,6 +77,7 @@
             view: RwLock::default(),
             shards: (0..shards).map(|_| Mutex::default()).collect(),
             meter: Mutex::default(),
+            pacing: Mutex::default(),
             counters: Mutex::default(),
             config,
         }
@@ -135,6 +139,7 @@
         } else {
             upstream::on_sent(&mut cx, packet, bytes);
         }
+        pacing::release(&mut cx);
         cx.actions
     }
 
@@ -145,6 +150,7 @@
             let mut shard = shard.lock();
             lookup::on_tick(&mut cx, &mut shard);
         }
+        pacing::release(&mut cx);
         cx.actions
     }
 
--- a/crates/plantainquay_core/src/relay/agent/established.rs
+++ b/crates/plantainquay_core/src/relay/agent/established.rs
@@ -5,7 +5,7 @@
 use plantainquay_schema::{EstablishedPacket, RelayBody};
 
 use super::flow::{Flow, FlowState, Trial, wait};
-use super::{Action, Context, lookup};
+use super::{Action, Context, lookup, pacing};
 use crate::relay::{DropReason, Packet};
 
 /// Agents that may pass one packet on.
@@ -80,6 +80,10 @@
     established: EstablishedPacket,
     packet: &Packet,
 ) {
+    if pacing::must_wait(cx, known.request_since, packet, &established.packet) {
+        known.last_packet = cx.now;
+        return;
+    }
     cx.with_meter(|meter| known.note_delivered(cx.now, packet, meter));
     cx.actions.push(Action::ToUpstream(established.packet));
 }
