Waiting requests go by priority and are forgotten with their callers

Cause: a request that waited a second was forgotten though its caller may wait for longer, and bookings waited behind feeds. Change: routes carry their timeout and priority; what waits is forgotten at the timeout or when its caller closes, and goes by priority, then newest.

--- a/crates/plantainquay_core/src/relay/agent/established.rs
+++ b/crates/plantainquay_core/src/relay/agent/established.rs
@@ -80,6 +80,9 @@
     established: EstablishedPacket,
     packet: &Packet,
 ) {
+    if packet.fin || packet.reset {
+        pacing::forget(cx, &packet.tuple);
+    }
     if pacing::must_wait(cx, known.request_since, packet, &established.packet) {
         known.last_packet = cx.now;
         return;
--- a/crates/plantainquay_core/src/relay/agent/pacing.rs
+++ b/crates/plantainquay_core/src/relay/agent/pacing.rs
@@ -4,7 +4,7 @@
 //! waits for the whole queue and comes late; with a short queue there, and the newest request
 //! first here, most come in time.
 
-use std::time::Duration;
+use std::cmp::Reverse;
 
 use bytes::Bytes;
 use plantainquay_schema::FiveTuple;
@@ -17,14 +17,12 @@
 
 /// Requests that the upstream gets for each of its slots: one that runs and one that is next.
 const REQUESTS_PER_SLOT: u32 = 2;
-/// Time after which a waiting request is forgotten; its caller has given up or repeats it.
-const LONGEST_WAIT: Duration = Duration::from_secs(1);
 /// Requests that wait at most; more go to the upstream, which refuses what it can't take.
 const MAX_REQUESTS: usize = 64;
 /// Packets of one request that wait at most.
 const MAX_PACKETS: usize = 8;
 
-/// Requests that wait, the newest last.
+/// Requests that wait.
 #[derive(Debug, Default)]
 pub(super) struct PacingQueue {
     requests: Vec<WaitingRequest>,
@@ -34,6 +32,9 @@
 struct WaitingRequest {
     tuple: FiveTuple,
     since: Timestamp,
+    /// Moment at which the caller gives the request up.
+    until: Timestamp,
+    priority: u32,
     packets: SmallVec<[(Packet, Bytes); 1]>,
 }
 
@@ -51,19 +52,26 @@
         true
     }
 
-    /// Takes out as many requests as there is room for, the newest first.
-    fn take_newest(&mut self, now: Timestamp, room: u32) -> SmallVec<[WaitingRequest; 2]> {
+    /// Takes out as many requests as there is room for: by priority, then the newest first.
+    fn take_next(&mut self, now: Timestamp, room: u32) -> SmallVec<[WaitingRequest; 2]> {
         if room == 0 || self.requests.is_empty() {
             return SmallVec::new();
         }
-        self.requests
-            .retain(|request| now.since(request.since) < LONGEST_WAIT);
+        self.requests.retain(|request| now < request.until);
+        let order = |request: &WaitingRequest| (Reverse(request.priority), request.since);
+        self.requests.sort_by_key(order);
         let room = usize::try_from(room).unwrap_or(usize::MAX);
         let kept = self.requests.len().saturating_sub(room);
         self.requests.drain(kept..).rev().collect()
     }
 }
 
+/// Forgets a request whose caller has closed its flow.
+pub(super) fn forget(cx: &Context<'_>, tuple: &FiveTuple) {
+    let mut queue = cx.agent.pacing.lock();
+    queue.requests.retain(|request| request.tuple != *tuple);
+}
+
 /// Whether a packet of the caller waits here; the rest goes to the upstream at once.
 pub(super) fn must_wait(
     cx: &Context<'_>,
@@ -82,20 +90,25 @@
     if is_full || cx.agent.meter.lock().waiting() < limit(cx) {
         return false;
     }
+    let Some(route) = cx.view.route(packet.tuple.destination) else {
+        return false;
+    };
     queue.requests.push(WaitingRequest {
         tuple: packet.tuple,
         since: cx.now,
+        until: cx.now + route.timeout,
+        priority: route.priority,
         packets: [(*packet, bytes.clone())].into_iter().collect(),
     });
     true
 }
 
-/// Gives the newest waiting requests to the upstream, as far as it has room.
+/// Gives waiting requests to the upstream, as far as it has room.
 pub(super) fn release(cx: &mut Context<'_>) {
     let room = limit(cx).saturating_sub(cx.agent.meter.lock().waiting());
     // The queue's lock is let go before a shard's is taken: packets take them the other way round.
-    let newest = cx.agent.pacing.lock().take_newest(cx.now, room);
-    for request in newest {
+    let next = cx.agent.pacing.lock().take_next(cx.now, room);
+    for request in next {
         deliver(cx, request);
     }
 }
--- a/crates/plantainquay_schema/src/fleet.rs
+++ b/crates/plantainquay_schema/src/fleet.rs
@@ -25,6 +25,10 @@
     pub services: SmallVec<[WeightedService; 1]>,
     /// Whether requests of this route may be repeated.
     pub idempotent: bool,
+    /// Time after which callers give a request up.
+    pub timeout: Duration,
+    /// Requests of a lower number go first where they wait.
+    pub priority: u32,
 }
 
 /// A service with its share of a route's new flows.
@@ -143,6 +147,8 @@
             port: route.listener.port().into(),
             services: services.collect(),
             idempotent: route.idempotent,
+            timeout_ms: millis(route.timeout),
+            priority: route.priority,
         }
     }
 }
@@ -171,6 +177,8 @@
                 .map(|s| WeightedService::new(&s.name, s.weight))
                 .collect(),
             idempotent: route.idempotent,
+            timeout: Duration::from_millis(route.timeout_ms),
+            priority: route.priority,
         };
         if route.has_target() {
             Ok(route)
--- a/crates/plantainquay_trace/src/relay/world.rs
+++ b/crates/plantainquay_trace/src/relay/world.rs
@@ -497,6 +497,8 @@
             listener,
             services: [WeightedService::new(SERVICE, 1)].into_iter().collect(),
             idempotent: true,
+            timeout: Duration::from_secs(1),
+            priority: 1,
         };
         Changes {
             whole: true,
