--- a/crates/plantainquay_core/src/relay/agent/lookup.rs
+++ b/crates/plantainquay_core/src/relay/agent/lookup.rs
@@ -211,7 +211,7 @@
     };
     let own = cx.own();
     let may_be_former = cx.now.since(lookup.since) < FORMER_TIME;
-    let Some(candidates) = cx.candidates() else {
+    let Some(candidates) = cx.candidates().filter(|_| cx.view.is_confirmed()) else {
         return;
     };
     let is_open_question = |candidate: &Candidate| {
--- a/crates/plantainquay_core/src/relay/view.rs
+++ b/crates/plantainquay_core/src/relay/view.rs
@@ -21,6 +21,7 @@
 pub struct RelayView {
     generation: Generation,
     revision: u64,
+    is_confirmed: bool,
     routes: Arc<HashMap<SocketAddr, Route>>,
     services: HashMap<ServiceId, ServiceCandidates>,
 }
@@ -80,6 +81,7 @@
         Self {
             generation: document.generation,
             revision: fleet.revision(),
+            is_confirmed: fleet.age(now).is_some(),
             routes,
             services,
         }
@@ -97,6 +99,12 @@
         self.revision
     }
 
+    /// Whether the view was ever known to be complete; it may lack upstreams before.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        self.is_confirmed
+    }
+
     /// A note of a decision that this view has led to.
     pub(super) fn note(
         &self,
--- a/crates/plantainquay_net/src/relay/fleet_state.rs
+++ b/crates/plantainquay_net/src/relay/fleet_state.rs
@@ -66,7 +66,8 @@
         let now = self.clock.now();
         let mut inner = self.inner.lock();
         let applied = inner.fleet.apply(now, changes);
-        if applied != Applied::default() {
+        let is_first_confirmed = inner.fleet.age(now).is_some() && !inner.view.is_confirmed();
+        if applied != Applied::default() || is_first_confirmed {
             self.install(now, &mut inner);
             log_change(applied, &inner.fleet, now, source);
         }
