--- a/crates/plantainquay_net/src/log_sink.rs
+++ b/crates/plantainquay_net/src/log_sink.rs
@@ -10,13 +10,15 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use parking_lot::Mutex;
+use parking_lot::{Condvar, Mutex};
 
 /// Lines that wait for the writer; more are left out.
 const MAX_WAITING: usize = 2_048;
 /// Lines of one event that are written in one [`WINDOW`].
 pub(crate) const LINES_PER_WINDOW: u32 = 200;
 const WINDOW: Duration = Duration::from_secs(1);
+/// Longest wait for the writing thread when a process ends.
+const LONGEST_FLUSH: Duration = Duration::from_millis(100);
 /// Stack of the writing thread, in bytes.
 const STACK_BYTES: usize = 64 << 10;
 
@@ -25,7 +27,22 @@
 pub struct LogSink {
     line: Vec<u8>,
     lines: SyncSender<Vec<u8>>,
-    left_out: Arc<Mutex<u64>>,
+    waiting: Arc<Waiting>,
+}
+
+/// Lines between those who log and the writing thread.
+#[derive(Debug, Default)]
+struct Waiting {
+    counts: Mutex<Counts>,
+    written: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    /// Lines that are handed over and not written yet.
+    waiting: usize,
+    /// Lines that were left out since the last one was written.
+    left_out: u64,
 }
 
 impl LogSink {
@@ -36,26 +53,25 @@
     /// Fails when the thread can't be started.
     pub fn start(out: impl Write + Send + 'static) -> io::Result<Self> {
         let (tx, rx) = sync_channel(MAX_WAITING);
-        let left_out = Arc::<Mutex<u64>>::default();
-        let counted = Arc::clone(&left_out);
+        let waiting = Arc::<Waiting>::default();
+        let shared = Arc::clone(&waiting);
         let builder = thread::Builder::new().name("log".to_owned());
         builder
             .stack_size(STACK_BYTES)
-            .spawn(move || write_lines(&rx, &counted, out))?;
+            .spawn(move || write_lines(&rx, &shared, out))?;
         Ok(Self {
             line: Vec::new(),
             lines: tx,
-            left_out,
+            waiting,
         })
     }
 
     fn hand_over(&mut self) {
         let line = std::mem::take(&mut self.line);
+        let mut counts = self.waiting.counts.lock();
         match self.lines.try_send(line) {
-            Ok(()) => {}
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-                *self.left_out.lock() += 1;
-            }
+            Ok(()) => counts.waiting += 1,
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => counts.left_out += 1,
         }
     }
 }
@@ -69,19 +85,34 @@
         Ok(buf.len())
     }
 
+    /// Waits for lines that are handed over, but not for long: nobody may read the output.
     fn flush(&mut self) -> io::Result<()> {
+        let deadline = Instant::now() + LONGEST_FLUSH;
+        let mut counts = self.waiting.counts.lock();
+        while counts.waiting > 0 {
+            if self
+                .waiting
+                .written
+                .wait_until(&mut counts, deadline)
+                .timed_out()
+            {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+        }
         Ok(())
     }
 }
 
-fn write_lines(lines: &Receiver<Vec<u8>>, left_out: &Mutex<u64>, mut out: impl Write) {
+fn write_lines(lines: &Receiver<Vec<u8>>, waiting: &Waiting, mut out: impl Write) {
     while let Ok(line) = lines.recv() {
-        let missing = std::mem::take(&mut *left_out.lock());
         // Nobody can be told that the output is gone.
         let _written = out.write_all(&line);
+        let missing = std::mem::take(&mut waiting.counts.lock().left_out);
         if missing > 0 {
             let _written = writeln!(out, "level=warn event=log_lines_lost lines={missing}");
         }
+        waiting.counts.lock().waiting -= 1;
+        waiting.written.notify_all();
     }
 }
 
--- a/crates/plantainquayd/src/relay.rs
+++ b/crates/plantainquayd/src/relay.rs
@@ -86,6 +86,7 @@
         event(Level::Info, "stopped", &[("instance", &settings.instance)]);
         anyhow::Ok(())
     })?;
+    log::logger().flush();
     // Threads block on their sockets; nothing of the process outlives it.
     std::process::exit(0)
 }
