Explain a flow from what a daemon knows; bound what processes remember

plantainquayctl explain asks one daemon and names route, service, owner and ranking. Tables of flows are bounded so that a flood of opening packets stays far below 64 MB: by their entries' size, not measured.

--- a/crates/plantainquay_core/src/relay/agent/flow.rs
+++ b/crates/plantainquay_core/src/relay/agent/flow.rs
@@ -20,8 +20,8 @@
 const OFFER_TTL: Duration = Duration::from_millis(1_500);
 /// Time after which a request without an answer no longer counts as load.
 const REQUEST_TTL: Duration = Duration::from_secs(1);
-/// Flows that one shard remembers.
-const MAX_FLOWS: usize = 65_536;
+/// Flows that one shard remembers: an upstream holds a few thousand, and memory is scarce beside it.
+const MAX_FLOWS: usize = 8_192;
 /// Packets of one flow that wait for the end of a lookup.
 const MAX_WAITING: usize = 8;
 
--- a/crates/plantainquay_core/src/relay/balancer/cache.rs
+++ b/crates/plantainquay_core/src/relay/balancer/cache.rs
@@ -13,8 +13,8 @@
 
 /// Time without a packet after which a flow is forgotten; its owner knows more.
 const CACHE_TTL: Duration = Duration::from_secs(20);
-/// Flows that one shard remembers.
-const MAX_FLOWS: usize = 131_072;
+/// Flows that one shard remembers, so that a flood of opening packets stays within a small process.
+const MAX_FLOWS: usize = 16_384;
 
 /// Flows of one shard.
 #[derive(Debug, Default)]
--- a/crates/plantainquay_core/src/relay/view.rs
+++ b/crates/plantainquay_core/src/relay/view.rs
@@ -162,6 +162,14 @@
         best.or_else(|| ready().min_by_key(|c| c.score(flow)))
     }
 
+    /// Every upstream in the order in which the flow prefers them.
+    #[must_use]
+    pub fn ranked(&self, flow: FlowId) -> Vec<&Candidate> {
+        let mut ranked: Vec<&Candidate> = self.candidates.iter().collect();
+        ranked.sort_by_key(|candidate| candidate.score(flow));
+        ranked
+    }
+
     /// Upstreams that take new flows.
     pub fn ready(&self) -> impl Iterator<Item = &Candidate> {
         self.candidates
--- a/crates/plantainquayctl/src/cli.rs
+++ b/crates/plantainquayctl/src/cli.rs
@@ -5,7 +5,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use crate::load::UsageError;
-use crate::{OutputFormat, Report, check, diff, digest, promote, status};
+use crate::{OutputFormat, Report, check, diff, digest, explain, promote, status};
 
 /// The command line's shape.
 #[must_use]
@@ -39,6 +39,16 @@
                 .about("Show a document's digests")
                 .arg(file("FILE")),
         )
+        .subcommand(
+            Command::new("explain")
+                .about("Say where a daemon would send a flow, and why")
+                .arg(text(
+                    "ADDRESS",
+                    "ip:port at which the daemon tells of changes",
+                ))
+                .arg(text("CALLER", "ip:port of the caller"))
+                .arg(text("LISTENER", "ip:port that the caller sends to")),
+        )
         .subcommand(
             Command::new("promote")
                 .about("Say whether a tried document may be promoted")
@@ -76,6 +86,10 @@
         Some(("check", sub)) => check(path(sub, "FILE"))?,
         Some(("diff", sub)) => diff(path(sub, "OLD"), path(sub, "NEW"))?,
         Some(("digest", sub)) => digest(path(sub, "FILE"))?,
+        Some(("explain", sub)) => {
+            let word = |name: &str| sub.get_one::<String>(name).map_or("", String::as_str);
+            explain(word("ADDRESS"), word("CALLER"), word("LISTENER"))?
+        }
         Some(("promote", sub)) => {
             let in_force = sub.get_one::<PathBuf>("IN_FORCE").map(PathBuf::as_path);
             promote(path(sub, "TRIAL"), path(sub, "PRODUCTION"), in_force)?
@@ -89,6 +103,10 @@
     Ok((report, format))
 }
 
+fn text(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).required(true).help(help)
+}
+
 fn file(name: &'static str) -> Arg {
     Arg::new(name)
         .required(true)
--- /dev/null
+++ b/crates/plantainquayctl/src/explain.rs
@@ -0,0 +1,165 @@
+//! `explain ADDRESS CALLER LISTENER`: where would a flow go, by what a daemon knows?
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ntex::client::Client;
+use ntex::time::timeout;
+use plantainquay_core::relay::{CandidateState, RelayView, ServiceCandidates};
+use plantainquay_core::{FiveTuple, Fleet, Timestamp};
+use plantainquay_schema::{Changes, FlowId, Route, WeightedService, wire};
+use prost::Message as _;
+use serde_json::json;
+
+use crate::load::UsageError;
+use crate::{Answer, Report};
+
+const TIMEOUT: Duration = Duration::from_secs(3);
+/// Largest answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 32 << 20;
+
+/// Asks a daemon for its routes and upstreams, and says what it would do with a flow.
+///
+/// # Errors
+///
+/// Fails when an address is not `ip:port`, or the daemon gives no answer.
+pub fn explain(daemon: &str, caller: &str, listener: &str) -> Result<Report, UsageError> {
+    let daemon = address(daemon)?;
+    let tuple = FiveTuple {
+        source: address(caller)?,
+        destination: address(listener)?,
+    };
+    let changes = ask(daemon).ok_or(UsageError::NoAnswer(daemon))?;
+    Ok(explain_flow(changes, tuple))
+}
+
+fn address(text: &str) -> Result<SocketAddr, UsageError> {
+    text.parse()
+        .map_err(|_e| UsageError::Address(text.to_owned()))
+}
+
+/// What a daemon with this state would do with a flow; the answer is no where it has no way to go.
+#[must_use]
+pub fn explain_flow(changes: Changes, tuple: FiveTuple) -> Report {
+    let now = Timestamp::default();
+    let age = changes.age;
+    let is_cut_off = changes.is_cut_off;
+    let mut fleet = Fleet::default();
+    fleet.apply(now, changes);
+    let view = RelayView::build(&fleet, now, 0, &RelayView::default());
+    let flow = tuple.flow_id();
+    let mut text = format!(
+        "flow {flow} from {} to {}\n",
+        tuple.source, tuple.destination
+    );
+    let age = age.map_or("never".to_owned(), |age| {
+        format!("{} ms ago", age.as_millis())
+    });
+    let cut_off = if is_cut_off { ", cut off" } else { "" };
+    let (generation, revision) = (view.generation(), view.revision());
+    push(
+        &mut text,
+        &format!("routes {generation}, upstreams {revision}, confirmed {age}{cut_off}"),
+    );
+    let Some(route) = view.route(tuple.destination) else {
+        push(&mut text, "no route: an opening packet is reset");
+        return report(Answer::No, &text);
+    };
+    let Some(service) = RelayView::choose_service(route, flow) else {
+        push(&mut text, "the route leads to no service");
+        return report(Answer::No, &text);
+    };
+    push(&mut text, &describe_route(route, service));
+    let ranked = view.service(service.id).map(|s| describe_ranking(s, flow));
+    let (lines, has_ready) = ranked.unwrap_or_default();
+    text.push_str(&lines);
+    let answer = if has_ready {
+        Answer::Yes
+    } else {
+        push(&mut text, "no ready upstream: an opening packet is refused");
+        Answer::No
+    };
+    report(answer, &text)
+}
+
+fn describe_route(route: &Route, chosen: &WeightedService) -> String {
+    let weights = route
+        .services
+        .iter()
+        .map(|s| format!("{} {}", s.name, s.weight));
+    let weights: Vec<String> = weights.collect();
+    let repeatable = if route.idempotent {
+        ""
+    } else {
+        ", not idempotent"
+    };
+    format!(
+        "route to {} (weights: {}), timeout {} ms, priority {}{repeatable}",
+        chosen.name,
+        weights.join(", "),
+        route.timeout.as_millis(),
+        route.priority
+    )
+}
+
+/// The ranking, one line an upstream, and whether one of them is ready.
+fn describe_ranking(candidates: &ServiceCandidates, flow: FlowId) -> (String, bool) {
+    let owner = candidates.owner(flow).map(|owner| owner.agent);
+    let entry = candidates.entry(flow, |_| true).map(|entry| entry.agent);
+    let mut lines = String::new();
+    for (rank, candidate) in candidates.ranked(flow).iter().enumerate() {
+        let state = match candidate.state {
+            CandidateState::Ready => "ready",
+            CandidateState::Draining => "draining",
+            CandidateState::Former => "gone",
+        };
+        let mut line = format!(
+            "{:>3}. {} {} slots {} {state}",
+            rank + 1,
+            candidate.agent.ip(),
+            candidate.data_centre,
+            candidate.slots
+        );
+        if owner == Some(candidate.agent) {
+            line.push_str(", owner of the flow");
+        }
+        if entry == Some(candidate.agent) {
+            line.push_str(", sees its opening packet first");
+        }
+        push(&mut lines, &line);
+    }
+    (lines, entry.is_some())
+}
+
+fn push(text: &mut String, line: &str) {
+    // Writing to a string never fails.
+    let _infallible = writeln!(text, "{line}");
+}
+
+fn report(answer: Answer, text: &str) -> Report {
+    let text = text.trim_end().to_owned();
+    let lines: Vec<&str> = text.lines().collect();
+    Report {
+        answer,
+        json: json!({ "lines": lines }),
+        text,
+    }
+}
+
+fn ask(daemon: SocketAddr) -> Option<Changes> {
+    let system = ntex::rt::System::build()
+        .name("plantainquayctl")
+        .build(ntex::rt::DefaultRuntime);
+    system.block_on(async move {
+        let client = Client::new().await;
+        let url = format!("http://{daemon}/v1/changes?generation=0&revision=0&wait_ms=0");
+        let fetch = async {
+            let response = client.get(url).send().await.ok()?;
+            let body = response.body().limit(MAX_ANSWER_BYTES).await.ok()?;
+            let changes = wire::fleet::Changes::decode(body).ok()?;
+            Changes::try_from(changes).ok()
+        };
+        timeout(TIMEOUT, fetch).await.ok().flatten()
+    })
+}
--- a/crates/plantainquayctl/src/load.rs
+++ b/crates/plantainquayctl/src/load.rs
@@ -1,6 +1,7 @@
 //! Reads documents.
 
 use std::fs;
+use std::net::SocketAddr;
 use std::path::Path;
 
 use plantainquay_schema::{Document, Faults};
@@ -18,6 +19,9 @@
     /// An address is not `ip:port`.
     #[error("`{0}` is not `ip:port`")]
     Address(String),
+    /// A daemon that the command needs gives no answer.
+    #[error("{0} gives no answer")]
+    NoAnswer(SocketAddr),
 }
 
 /// Reads and checks a document that a command needs to be free of faults.
