--- /dev/null
+++ b/crates/plantainquay_core/tests/support/relay.rs
@@ -0,0 +1,75 @@
+//! Upstreams, packets and messages for tests of the relay.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use bytes::Bytes;
+use plantainquay_core::FiveTuple;
+use plantainquay_core::relay::{Packet, RelayAgent, RelayAgentConfig};
+use plantainquay_schema::{
+    EstablishedPacket, Incarnation, RelayBody, RelayMessage, ServiceId, UpstreamEntry,
+};
+
+/// Port of messages between processes.
+pub const PEER_PORT: u16 = 7_000;
+
+/// Name of the only service.
+pub const SERVICE: &str = "feed";
+
+pub fn process(number: u8) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, number)), PEER_PORT)
+}
+
+/// An upstream with one slot, beside the agent with the same number.
+pub fn upstream(number: u8) -> UpstreamEntry {
+    UpstreamEntry {
+        id: format!("u{number}").as_str().into(),
+        service: SERVICE.into(),
+        ip: Ipv4Addr::new(10, 0, 0, number),
+        data_centre: "split".into(),
+        slots: 1,
+        draining: false,
+        incarnation: Incarnation(1),
+        warm_up: Duration::ZERO,
+        revision: 1,
+    }
+}
+
+/// The agent beside the first upstream.
+pub fn agent() -> RelayAgent {
+    RelayAgent::new(RelayAgentConfig {
+        service: ServiceId::of(SERVICE),
+        own: process(1),
+        shards: 1,
+    })
+}
+
+/// A packet in the middle of a flow.
+pub fn packet(tuple: FiveTuple, data_bytes: u16) -> Packet {
+    Packet {
+        tuple,
+        syn: false,
+        acknowledges: true,
+        fin: false,
+        reset: false,
+        returned: false,
+        ack: 1,
+        data_bytes,
+    }
+}
+
+pub fn message(body: RelayBody) -> RelayMessage {
+    RelayMessage {
+        service: ServiceId::of(SERVICE),
+        body,
+    }
+}
+
+/// A packet as the balancer with number 9 hands it over.
+pub fn established(bytes: &[u8]) -> RelayMessage {
+    message(RelayBody::Established(EstablishedPacket {
+        packet: Bytes::copy_from_slice(bytes),
+        balancer: process(9),
+        hops: 0,
+    }))
+}
--- a/crates/plantainquay_schema/src/fault.rs
+++ b/crates/plantainquay_schema/src/fault.rs
@@ -25,6 +25,18 @@
 pub struct Faults(Vec<Fault>);
 
 impl Faults {
+    /// The value that `check` makes of good input, or every fault that it records.
+    ///
+    /// # Errors
+    ///
+    /// Returns the faults when there are any.
+    pub fn collect<T>(check: impl FnOnce(&mut Self) -> Option<T>) -> Result<T, Self> {
+        let mut faults = Self::default();
+        let value = check(&mut faults);
+        faults.into_result()?;
+        value.ok_or_else(Self::default)
+    }
+
     /// Records a fault.
     pub fn add(&mut self, path: impl Into<String>, reason: impl Into<String>) {
         self.0.push(Fault {
--- a/crates/plantainquay_schema/src/relay_settings.rs
+++ b/crates/plantainquay_schema/src/relay_settings.rs
@@ -74,10 +74,7 @@
     type Error = Faults;
 
     fn try_from(wire: wire::relay_settings::RelaySettings) -> Result<Self, Faults> {
-        let mut faults = Faults::default();
-        let settings = check(&wire, &mut faults);
-        faults.into_result()?;
-        settings.ok_or_else(Faults::default)
+        Faults::collect(|faults| check(&wire, faults))
     }
 }
 
--- a/crates/plantainquay_schema/src/settings/check.rs
+++ b/crates/plantainquay_schema/src/settings/check.rs
@@ -23,10 +23,7 @@
     type Error = Faults;
 
     fn try_from(wire: wire::settings::Settings) -> Result<Self, Faults> {
-        let mut faults = Faults::default();
-        let settings = check(&wire, &mut faults);
-        faults.into_result()?;
-        settings.ok_or_else(Faults::default)
+        Faults::collect(|faults| check(&wire, faults))
     }
 }
 
--- a/crates/plantainquay_trace/src/relay/world.rs
+++ b/crates/plantainquay_trace/src/relay/world.rs
@@ -1,5 +1,8 @@
 //! The world: balancers, agents, upstreams and callers.
 
+mod callers;
+mod faults;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -8,13 +11,10 @@
 use bytes::Bytes;
 use plantainquay_core::Timestamp;
 use plantainquay_core::relay::{Action, Actions};
-use plantainquay_schema::{
-    Changes, Departure, Generation, Incarnation, RelayBody, Route, RouteDocument, UpstreamEntry,
-    WeightedService,
-};
+use plantainquay_schema::{Incarnation, RelayBody, UpstreamEntry};
 
 use super::RelayEvent;
-use super::codec::{Kind, LISTENER, Wire};
+use super::codec::{Kind, Wire};
 use super::network::{Arrival, Network};
 use super::process::{Process, Role, SERVICE};
 use super::upstream::{Reaction, Upstream};
@@ -158,33 +158,6 @@
         chosen.is_some_and(|chosen| self.upstreams[&chosen].holds(flow))
     }
 
-    fn apply(&mut self, event: &RelayEvent) {
-        match event {
-            RelayEvent::Open(flow, via) => {
-                self.flows.insert(*flow, Flow::default());
-                self.send_from_caller(*flow, Kind::Open, via);
-            }
-            RelayEvent::Repeat(flow, via) => self.repeat_opening(*flow, via),
-            RelayEvent::Send(flow, via) => self.send_data(*flow, via),
-            RelayEvent::Restart(name) => self.restart(name),
-            RelayEvent::Kill(name) => self.with_process(name, |p| p.is_down = true),
-            RelayEvent::Pause(name) => self.with_process(name, |p| p.is_paused = true),
-            RelayEvent::Resume(name) => self.with_process(name, |p| p.is_paused = false),
-            RelayEvent::Crash(upstream) => self.with_upstream(*upstream, Upstream::crash),
-            RelayEvent::Down(upstream) => self.with_upstream(*upstream, |u| {
-                u.crash();
-                u.is_down = true;
-            }),
-            RelayEvent::Refuse(upstream) => {
-                self.with_upstream(*upstream, |u| u.refuses = true);
-            }
-            RelayEvent::Drain(upstream) => self.list(*upstream, true),
-            RelayEvent::Join(upstream) => self.list(*upstream, false),
-            RelayEvent::Depart(upstream) => self.depart(*upstream),
-            RelayEvent::Lose(loss) => self.network.loss = *loss,
-        }
-    }
-
     fn run_until(&mut self, until_ms: u64) {
         loop {
             let next_tick = self.last_tick_ms + TICK_MS;
@@ -341,177 +314,6 @@
         }
     }
 
-    /// ## Callers
-    fn at_caller(&mut self, packet: &Bytes) {
-        let Some(wire) = Wire::decode(packet) else {
-            return;
-        };
-        let Some(flow) = self.flows.get_mut(&wire.flow) else {
-            return;
-        };
-        match wire.kind {
-            Kind::Accept if flow.chosen.is_none() && !flow.is_reset => {
-                flow.chosen = Some(wire.upstream);
-                flow.life = wire.life;
-                self.summary.opened += 1;
-                let line = format!("f{} opened at u{}", wire.flow, wire.upstream);
-                self.write(&line);
-            }
-            Kind::Answer if flow.chosen == Some(wire.upstream) => {
-                flow.answered += 1;
-                self.summary.answered += 1;
-                let line = format!("f{} answered by u{}", wire.flow, wire.upstream);
-                self.write(&line);
-            }
-            _ => {}
-        }
-    }
-
-    /// Whether the store has dropped a flow's upstream and its agent doesn't answer either.
-    ///
-    /// Nothing tells such an upstream from one that has ended, and its flows may be reset.
-    fn is_out_of_sight(&self, number: u16) -> bool {
-        let chosen = self.flows.get(&number).and_then(|flow| flow.chosen);
-        chosen.is_some_and(|chosen| {
-            let agent = &self.processes[self.balancers + usize::from(chosen) - 1];
-            !self.listed.contains_key(&chosen) && (agent.is_paused || agent.is_down)
-        })
-    }
-
-    /// Callers repeat an opening packet only until an upstream has answered it.
-    fn repeat_opening(&mut self, flow: u16, via: &str) {
-        if self
-            .flows
-            .get(&flow)
-            .is_some_and(|flow| flow.chosen.is_none())
-        {
-            self.send_from_caller(flow, Kind::Reopen, via);
-        }
-    }
-
-    fn send_data(&mut self, flow: u16, via: &str) {
-        let Some(state) = self.flows.get_mut(&flow) else {
-            return;
-        };
-        if state.chosen.is_some() && !state.is_reset {
-            state.sent += 1;
-            self.send_from_caller(flow, Kind::Data, via);
-        }
-    }
-
-    fn send_from_caller(&mut self, flow: u16, kind: Kind, via: &str) {
-        let Some(balancer) = self.processes.iter().position(|p| p.name == via) else {
-            return;
-        };
-        let Some(state) = self.flows.get(&flow) else {
-            return;
-        };
-        let packet = Wire {
-            flow,
-            kind,
-            upstream: state.chosen.unwrap_or(0),
-            life: state.life,
-            number: state.sent,
-        };
-        let packet = packet.encode();
-        self.network
-            .send(self.now_ms, Arrival::FromCaller { balancer, packet });
-    }
-
-    fn reset(&mut self, by: usize, number: u16, reason: &dyn std::fmt::Display) {
-        let is_held = self.is_held(number) && !self.is_out_of_sight(number);
-        let Some(flow) = self.flows.get_mut(&number) else {
-            return;
-        };
-        if flow.is_reset {
-            return;
-        }
-        flow.is_reset = true;
-        let verdict = if is_held {
-            self.summary.broken += 1;
-            "BROKEN"
-        } else {
-            self.summary.reset += 1;
-            "reset"
-        };
-        let name = self.processes[by].name.clone();
-        self.write(&format!("f{number} {verdict} by {name}: {reason}"));
-    }
-
-    /// ## Faults and changes
-    fn restart(&mut self, name: &str) {
-        let now = self.now();
-        // A process that starts hears from one that has been there, when there is any.
-        let live = |p: &&Process| p.name != name && !p.is_down && !p.is_paused;
-        let peer = self.processes.iter().find(live);
-        let whole = peer.map_or_else(|| self.whole(), |peer| peer.everything(now));
-        self.with_process(name, |process| {
-            process.restart();
-            process.tell(now, whole);
-        });
-    }
-
-    fn list(&mut self, number: u16, draining: bool) {
-        self.revision += 1;
-        let entry = UpstreamEntry {
-            draining,
-            ..entry(number, self.revision)
-        };
-        self.listed.insert(number, entry.clone());
-        self.tell_all(&Changes {
-            upstreams: vec![entry],
-            ..self.news()
-        });
-    }
-
-    fn depart(&mut self, number: u16) {
-        self.revision += 1;
-        if let Some(entry) = self.listed.remove(&number) {
-            let departure = Departure::of(entry.id, self.revision);
-            self.tell_all(&Changes {
-                departures: vec![departure],
-                ..self.news()
-            });
-        }
-    }
-
-    fn tell_all(&mut self, changes: &Changes) {
-        let now = self.now();
-        let live = self.processes.iter_mut().filter(|process| !process.is_down);
-        live.for_each(|process| process.tell(now, changes.clone()));
-    }
-
-    fn news(&self) -> Changes {
-        Changes {
-            age: Some(Duration::ZERO),
-            revision: self.revision,
-            ..Changes::default()
-        }
-    }
-
-    fn whole(&self) -> Changes {
-        let SocketAddr::V4(listener) = LISTENER else {
-            return Changes::default();
-        };
-        let route = Route {
-            listener,
-            services: [WeightedService::new(SERVICE, 1)].into_iter().collect(),
-            idempotent: true,
-            timeout: Duration::from_secs(1),
-            priority: 1,
-        };
-        Changes {
-            whole: true,
-            routes: Some(RouteDocument {
-                generation: Generation(1),
-                routes: vec![route],
-            }),
-            upstreams: self.listed.values().cloned().collect(),
-            ..self.news()
-        }
-    }
-
-    /// ## Small helpers
     fn now(&self) -> Timestamp {
         Timestamp::from_millis(self.now_ms)
     }
--- /dev/null
+++ b/crates/plantainquay_trace/src/relay/world/faults.rs
@@ -0,0 +1,115 @@
+//! Faults, and changes of what the store lists.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use plantainquay_schema::{
+    Changes, Departure, Generation, Route, RouteDocument, UpstreamEntry, WeightedService,
+};
+
+use super::{Flow, RelayWorld, entry};
+use crate::relay::RelayEvent;
+use crate::relay::codec::{Kind, LISTENER};
+use crate::relay::process::{Process, SERVICE};
+use crate::relay::upstream::Upstream;
+
+impl RelayWorld {
+    pub(super) fn apply(&mut self, event: &RelayEvent) {
+        match event {
+            RelayEvent::Open(flow, via) => {
+                self.flows.insert(*flow, Flow::default());
+                self.send_from_caller(*flow, Kind::Open, via);
+            }
+            RelayEvent::Repeat(flow, via) => self.repeat_opening(*flow, via),
+            RelayEvent::Send(flow, via) => self.send_data(*flow, via),
+            RelayEvent::Restart(name) => self.restart(name),
+            RelayEvent::Kill(name) => self.with_process(name, |p| p.is_down = true),
+            RelayEvent::Pause(name) => self.with_process(name, |p| p.is_paused = true),
+            RelayEvent::Resume(name) => self.with_process(name, |p| p.is_paused = false),
+            RelayEvent::Crash(upstream) => self.with_upstream(*upstream, Upstream::crash),
+            RelayEvent::Down(upstream) => self.with_upstream(*upstream, |u| {
+                u.crash();
+                u.is_down = true;
+            }),
+            RelayEvent::Refuse(upstream) => {
+                self.with_upstream(*upstream, |u| u.refuses = true);
+            }
+            RelayEvent::Drain(upstream) => self.list(*upstream, true),
+            RelayEvent::Join(upstream) => self.list(*upstream, false),
+            RelayEvent::Depart(upstream) => self.depart(*upstream),
+            RelayEvent::Lose(loss) => self.network.loss = *loss,
+        }
+    }
+
+    pub(super) fn restart(&mut self, name: &str) {
+        let now = self.now();
+        // A process that starts hears from one that has been there, when there is any.
+        let live = |p: &&Process| p.name != name && !p.is_down && !p.is_paused;
+        let peer = self.processes.iter().find(live);
+        let whole = peer.map_or_else(|| self.whole(), |peer| peer.everything(now));
+        self.with_process(name, |process| {
+            process.restart();
+            process.tell(now, whole);
+        });
+    }
+
+    pub(super) fn list(&mut self, number: u16, draining: bool) {
+        self.revision += 1;
+        let entry = UpstreamEntry {
+            draining,
+            ..entry(number, self.revision)
+        };
+        self.listed.insert(number, entry.clone());
+        self.tell_all(&Changes {
+            upstreams: vec![entry],
+            ..self.news()
+        });
+    }
+
+    pub(super) fn depart(&mut self, number: u16) {
+        self.revision += 1;
+        if let Some(entry) = self.listed.remove(&number) {
+            let departure = Departure::of(entry.id, self.revision);
+            self.tell_all(&Changes {
+                departures: vec![departure],
+                ..self.news()
+            });
+        }
+    }
+
+    pub(super) fn tell_all(&mut self, changes: &Changes) {
+        let now = self.now();
+        let live = self.processes.iter_mut().filter(|process| !process.is_down);
+        live.for_each(|process| process.tell(now, changes.clone()));
+    }
+
+    pub(super) fn news(&self) -> Changes {
+        Changes {
+            age: Some(Duration::ZERO),
+            revision: self.revision,
+            ..Changes::default()
+        }
+    }
+
+    pub(super) fn whole(&self) -> Changes {
+        let SocketAddr::V4(listener) = LISTENER else {
+            return Changes::default();
+        };
+        let route = Route {
+            listener,
+            services: [WeightedService::new(SERVICE, 1)].into_iter().collect(),
+            idempotent: true,
+            timeout: Duration::from_secs(1),
+            priority: 1,
+        };
+        Changes {
+            whole: true,
+            routes: Some(RouteDocument {
+                generation: Generation(1),
+                routes: vec![route],
+            }),
+            upstreams: self.listed.values().cloned().collect(),
+            ..self.news()
+        }
+    }
+}
