One watch for changes of routes that come within 200 ms

Cause: in a storm of configurations the readers of the store made a call for each version, and sent each whole document to every listener. Change: 200 ms after a change of routes, 40 ms after one of upstreams.

--- a/crates/plantainquay_net/src/relay/follow.rs
+++ b/crates/plantainquay_net/src/relay/follow.rs
@@ -32,6 +32,9 @@
 const SOURCE_PAUSE: Millis = Millis(250);
 /// Pause after a change, so that changes that come together take one watch.
 const BATCH_PAUSE: Millis = Millis(40);
+/// Pause after a change of routes: whole documents, which come in quick succession and have
+/// seconds to come into force.
+const ROUTES_PAUSE: Millis = Millis(200);
 /// Pause after a failed read of the store at first; it doubles up to one of the limits below.
 const FIRST_RETRY: Duration = Duration::from_millis(50);
 /// Limit for a process that doesn't know yet what is in force, and can't serve until it does.
@@ -185,7 +188,13 @@
     }
 
     async fn note_success(&mut self, changes: Changes) {
-        let any = !changes.upstreams.is_empty() || !changes.departures.is_empty();
+        let pause = if changes.routes.is_some() {
+            ROUTES_PAUSE
+        } else if changes.upstreams.is_empty() && changes.departures.is_empty() {
+            Millis::ZERO
+        } else {
+            BATCH_PAUSE
+        };
         self.state.apply(changes, "store");
         self.state.set_cut_off(false);
         self.can_watch = true;
@@ -194,9 +203,7 @@
         if !std::mem::replace(&mut self.is_connected, true) {
             event(Level::Info, "store_connected", &[]);
         }
-        if any {
-            sleep(BATCH_PAUSE).await;
-        }
+        sleep(pause).await;
     }
 
     fn note_failure(&mut self, error: &StoreError, longest_retry: Duration) {
