Read once more: one copy of what stood twice, less work for each packet

Cause, found by reading the whole change: the shard of a flow was computed in three places and the next due flow, the sockets' binding, trials, refusals, pauses and defaults of settings in two each; each caller's packet locked the fleet's state for an age that only packets without a route need, and copied its route; may_hold and the pace of requests searched a service's upstreams for each packet, the latter also while nothing waited; an opening locked the suspects for each candidate. Ruled out: one error type for the HTTP gets of follower, store and tool (each has its own layer's errors), and sharing checks of the two settings (their fields differ). Change: FlowId::shard, DueFlows::next_of, Carrier::bind, start_trial, refuse, clock::pause, default_to and EstablishedPacket::new serve all; candidates are found by a map; age and routes are looked up where needed. Source, Certainty and the unread counter of resets are gone.

--- a/crates/plantainquay_core/src/agent/state.rs
+++ b/crates/plantainquay_core/src/agent/state.rs
@@ -106,8 +106,7 @@
     /// Index of a flow's shard.
     #[must_use]
     pub fn shard_index(&self, flow: FlowId) -> usize {
-        // The upper half: the lower bits choose the bucket.
-        usize::try_from(flow.0 >> 32).unwrap_or(0) % self.shards.len()
+        flow.shard(self.shards.len())
     }
 
     /// Every shard, in order.
--- a/crates/plantainquay_core/src/relay.rs
+++ b/crates/plantainquay_core/src/relay.rs
@@ -29,5 +29,5 @@
 pub use load::LoadMeter;
 pub use note::{Decision, Note};
 pub use packet::Packet;
-pub use sources::{Source, sources};
+pub use sources::sources;
 pub use view::{Candidate, CandidateState, RelayView, ServiceCandidates};
--- a/crates/plantainquay_core/src/relay/agent.rs
+++ b/crates/plantainquay_core/src/relay/agent.rs
@@ -172,8 +172,7 @@
     }
 
     fn shard(&self, flow: FlowId) -> MutexGuard<'_, FlowShard> {
-        let index = usize::try_from(flow.0 >> 32).unwrap_or(0) % self.shards.len();
-        self.shards[index].lock()
+        self.shards[flow.shard(self.shards.len())].lock()
     }
 }
 
--- a/crates/plantainquay_core/src/relay/agent/established.rs
+++ b/crates/plantainquay_core/src/relay/agent/established.rs
@@ -4,7 +4,7 @@
 
 use plantainquay_schema::{EstablishedPacket, RelayBody};
 
-use super::flow::{Flow, FlowState, Trial, wait};
+use super::flow::{Flow, FlowState, wait};
 use super::{Action, Context, lookup, pacing};
 use crate::relay::{DropReason, Packet};
 
@@ -23,18 +23,8 @@
 ) {
     let flow = packet.tuple.flow_id();
     let mut shard = cx.agent.shard(flow);
-    if shard.get_mut(flow, &packet.tuple).is_none() {
-        let state = FlowState::Tried(Box::new(Trial::new(cx.now, None)));
-        shard.due.push(cx.now + lookup::TRIAL_TIME, flow);
-        if let Some(known) = shard.insert(cx.now, packet.tuple, state) {
-            try_upstream(cx, known, established, packet);
-        } else {
-            cx.actions.push(Action::Drop(DropReason::LookupFull));
-        }
-        return;
-    }
     let Some(known) = shard.get_mut(flow, &packet.tuple) else {
-        return;
+        return lookup::start_trial(cx, &mut shard, established, packet, None);
     };
     known.caller_ack = packet.ack;
     known.balancer = Some(established.balancer);
@@ -66,9 +56,7 @@
         }
         FlowState::Elsewhere(_) => {
             // The holder is gone, or two agents believe that the other holds the flow.
-            known.state = FlowState::Tried(Box::new(Trial::new(cx.now, None)));
-            try_upstream(cx, known, established, packet);
-            shard.due.push(cx.now + lookup::TRIAL_TIME, flow);
+            lookup::start_trial(cx, &mut shard, established, packet, None);
         }
         FlowState::Lost => cx.send(established.balancer, RelayBody::Lost(packet.tuple)),
     }
--- a/crates/plantainquay_core/src/relay/agent/flow.rs
+++ b/crates/plantainquay_core/src/relay/agent/flow.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use plantainquay_schema::{EstablishedPacket, FiveTuple, FlowId, OpeningPacket};
 use smallvec::SmallVec;
 
@@ -168,12 +167,8 @@
 
     /// The next flow whose trial or lookup may have to be ended.
     pub(super) fn next_due(&mut self, now: Timestamp) -> Option<&mut Flow> {
-        loop {
-            let flow = self.due.pop(now)?;
-            if self.flows.contains_key(&flow) {
-                return self.flows.get_mut(&flow);
-            }
-        }
+        let due = self.due.next_of(now, &mut self.flows);
+        due.map(|(_, flow)| flow)
     }
 
     /// Forgets flows without packets, and load that nothing has come of.
@@ -281,12 +276,3 @@
         }
     }
 }
-
-/// An established packet of a front end.
-pub(super) fn established(packet: Bytes, balancer: SocketAddr) -> EstablishedPacket {
-    EstablishedPacket {
-        packet,
-        balancer,
-        hops: 0,
-    }
-}
--- a/crates/plantainquay_core/src/relay/agent/lookup.rs
+++ b/crates/plantainquay_core/src/relay/agent/lookup.rs
@@ -7,7 +7,7 @@
 use plantainquay_schema::{EstablishedPacket, FiveTuple, FlowId, RelayBody};
 use smallvec::SmallVec;
 
-use super::flow::{Flow, FlowShard, FlowState, Holder, Lookup, Trial, Waiting, established};
+use super::flow::{Flow, FlowShard, FlowState, Holder, Lookup, Trial, Waiting};
 use super::{Action, Context};
 use crate::relay::{Candidate, CandidateState, Decision, DropReason, Packet, ServiceCandidates};
 
@@ -15,7 +15,7 @@
 ///
 /// It returns packets of other flows at once; the rest is the time that a busy agent takes to
 /// read its sockets.
-pub(super) const TRIAL_TIME: Duration = Duration::from_millis(60);
+const TRIAL_TIME: Duration = Duration::from_millis(60);
 /// Time after which agents that have not answered are asked again.
 pub(super) const ASK_INTERVAL: Duration = Duration::from_millis(80);
 /// Rounds of questions, unless the caller goes on sending.
@@ -48,10 +48,23 @@
         // Only the upstream's reaction tells, whatever was thought before.
         cx.with_meter(|meter| known.close(cx.now, meter));
     }
-    let state = FlowState::Tried(Box::new(Trial::new(cx.now, Some(from))));
-    shard.due.push(cx.now + TRIAL_TIME, flow);
+    start_trial(cx, &mut shard, probe, packet, Some(from));
+}
+
+/// Gives a first packet of a flow to the upstream to see whether it holds the flow.
+pub(super) fn start_trial(
+    cx: &mut Context<'_>,
+    shard: &mut FlowShard,
+    first: EstablishedPacket,
+    packet: &Packet,
+    asker: Option<SocketAddr>,
+) {
+    let state = FlowState::Tried(Box::new(Trial::new(cx.now, asker)));
+    shard.due.push(cx.now + TRIAL_TIME, packet.tuple.flow_id());
     if let Some(known) = shard.insert(cx.now, packet.tuple, state) {
-        super::established::try_upstream(cx, known, probe, packet);
+        super::established::try_upstream(cx, known, first, packet);
+    } else {
+        cx.actions.push(Action::Drop(DropReason::LookupFull));
     }
 }
 
@@ -83,7 +96,7 @@
         since: cx.now,
         asked: cx.now,
         rounds: 0,
-        probe: established(bytes, balancer),
+        probe: EstablishedPacket::new(bytes, balancer),
         denied: SmallVec::new(),
         waiting,
     };
--- a/crates/plantainquay_core/src/relay/agent/opening.rs
+++ b/crates/plantainquay_core/src/relay/agent/opening.rs
@@ -51,7 +51,7 @@
 }
 
 /// Gives the packet to the least loaded of the agents that have seen it, or shows it to another.
-pub(super) fn place(cx: &mut Context<'_>, mut opening: OpeningPacket, packet: &Packet) {
+fn place(cx: &mut Context<'_>, mut opening: OpeningPacket, packet: &Packet) {
     let own = cx.own();
     let load = own_load(cx);
     if opening.chosen && load != UNAVAILABLE {
@@ -83,12 +83,7 @@
             cx.note(packet.tuple, Decision::OpeningPassedOn, to, load.into());
             cx.send(best.agent, RelayBody::Opening(opening));
         }
-        _ if load == UNAVAILABLE => {
-            cx.count(|c| c.refused += 1);
-            let visited = opening.visited.len() as u64;
-            cx.note(packet.tuple, Decision::OpeningRefused, None, visited);
-            cx.send(opening.balancer, RelayBody::Refused(packet.tuple));
-        }
+        _ if load == UNAVAILABLE => refuse(cx, &opening, packet),
         _ => offer(cx, opening, packet, load),
     }
 }
@@ -145,15 +140,18 @@
             cx.count(|c| c.passed_on += 1);
             cx.send(next, RelayBody::Opening(opening));
         }
-        _ => {
-            cx.count(|c| c.refused += 1);
-            let visited = opening.visited.len() as u64;
-            cx.note(packet.tuple, Decision::OpeningRefused, None, visited);
-            cx.send(opening.balancer, RelayBody::Refused(packet.tuple));
-        }
+        _ => refuse(cx, &opening, packet),
     }
 }
 
+/// Tells the balancer that no agent takes the flow.
+fn refuse(cx: &mut Context<'_>, opening: &OpeningPacket, packet: &Packet) {
+    cx.count(|c| c.refused += 1);
+    let visited = opening.visited.len() as u64;
+    cx.note(packet.tuple, Decision::OpeningRefused, None, visited);
+    cx.send(opening.balancer, RelayBody::Refused(packet.tuple));
+}
+
 /// Load of the upstream beside this agent, as it counts in comparisons.
 fn own_load(cx: &Context<'_>) -> u32 {
     let own = cx.candidates().and_then(|c| c.find(cx.own()));
--- a/crates/plantainquay_core/src/relay/agent/pacing.rs
+++ b/crates/plantainquay_core/src/relay/agent/pacing.rs
@@ -54,7 +54,7 @@
 
     /// Takes out as many requests as there is room for: by priority, then the newest first.
     fn take_next(&mut self, now: Timestamp, room: u32) -> SmallVec<[WaitingRequest; 2]> {
-        if room == 0 || self.requests.is_empty() {
+        if room == 0 {
             return SmallVec::new();
         }
         self.requests.retain(|request| now < request.until);
@@ -105,6 +105,9 @@
 
 /// Gives waiting requests to the upstream, as far as it has room.
 pub(super) fn release(cx: &mut Context<'_>) {
+    if cx.agent.pacing.lock().requests.is_empty() {
+        return;
+    }
     let room = limit(cx).saturating_sub(cx.agent.meter.lock().waiting());
     // The queue's lock is let go before a shard's is taken: packets take them the other way round.
     let next = cx.agent.pacing.lock().take_next(cx.now, room);
--- a/crates/plantainquay_core/src/relay/balancer.rs
+++ b/crates/plantainquay_core/src/relay/balancer.rs
@@ -13,7 +13,7 @@
 use plantainquay_schema::{FlowId, RelayBody, RelayMessage};
 
 use self::cache::CacheShard;
-use self::event::{Context, OPENING_RETRY, certainty};
+use self::event::{Context, OPENING_RETRY};
 use super::pause::PauseMeter;
 use super::{Action, Actions, DropReason, Packet, RelayView};
 use crate::Timestamp;
@@ -30,13 +30,16 @@
     pub shards: usize,
 }
 
+/// Agents that were silent, and since when.
+type Suspects = HashMap<SocketAddr, Timestamp>;
+
 /// A balancer.
 #[derive(Debug)]
 pub struct RelayBalancer {
     config: RelayBalancerConfig,
     view: RwLock<Arc<RelayView>>,
     shards: Vec<Mutex<CacheShard>>,
-    suspects: Mutex<HashMap<SocketAddr, Timestamp>>,
+    suspects: Mutex<Suspects>,
     pauses: PauseMeter,
     counters: Mutex<BalancerCounters>,
 }
@@ -88,23 +91,25 @@
 
     /// Decides on a packet from a caller.
     ///
-    /// `view_age` is the time since routes were last known to be current.
+    /// `view_age` tells the time since routes were last known to be current; only packets without
+    /// a route ask.
     pub fn on_packet(
         &self,
         now: Timestamp,
-        view_age: Option<Duration>,
+        view_age: impl FnOnce() -> Option<Duration>,
         packet: &Packet,
         bytes: Bytes,
     ) -> Actions {
         let mut cx = Context::new(self, now);
-        let Some(route) = cx.view.route(packet.tuple.destination).cloned() else {
-            cx.on_unrouted(certainty(view_age), packet);
+        let view = Arc::clone(&cx.view);
+        let Some(route) = view.route(packet.tuple.destination) else {
+            cx.on_unrouted(view_age(), packet);
             return cx.actions;
         };
         if packet.is_opening() {
-            cx.on_opening(&route, packet, bytes);
+            cx.on_opening(route, packet, bytes);
         } else {
-            cx.on_established(&route, packet, bytes);
+            cx.on_established(route, packet, bytes);
         }
         cx.actions
     }
@@ -141,20 +146,20 @@
         cx.actions
     }
 
-    /// Forgets flows that no packet has come for; returns how many are left.
-    pub fn expire(&self, now: Timestamp) -> usize {
-        let shards = self.shards.iter();
-        shards.map(|shard| shard.lock().expire(now)).sum()
+    /// Forgets flows that no packet has come for.
+    pub fn expire(&self, now: Timestamp) {
+        for shard in &self.shards {
+            shard.lock().expire(now);
+        }
     }
 
     fn shard(&self, flow: FlowId) -> MutexGuard<'_, CacheShard> {
-        let index = usize::try_from(flow.0 >> 32).unwrap_or(0) % self.shards.len();
-        self.shards[index].lock()
+        self.shards[flow.shard(self.shards.len())].lock()
     }
+}
 
-    fn is_suspect(&self, now: Timestamp, agent: SocketAddr) -> bool {
-        let suspects = self.suspects.lock();
-        let since = suspects.get(&agent);
-        since.is_some_and(|since| now.since(*since) < SUSPICION)
-    }
+/// Whether an agent has left an opening packet without an answer lately.
+fn is_suspect(suspects: &Suspects, now: Timestamp, agent: SocketAddr) -> bool {
+    let since = suspects.get(&agent);
+    since.is_some_and(|since| now.since(*since) < SUSPICION)
 }
--- a/crates/plantainquay_core/src/relay/balancer/cache.rs
+++ b/crates/plantainquay_core/src/relay/balancer/cache.rs
@@ -95,18 +95,12 @@
 
     /// The next flow whose opening packet may have to be sent again.
     pub(super) fn next_due(&mut self, now: Timestamp) -> Option<(FlowId, &mut Cached)> {
-        loop {
-            let flow = self.due.pop(now)?;
-            if self.flows.contains_key(&flow) {
-                return self.flows.get_mut(&flow).map(|cached| (flow, cached));
-            }
-        }
+        self.due.next_of(now, &mut self.flows)
     }
 
-    /// Forgets flows without packets; returns how many are left.
-    pub(super) fn expire(&mut self, now: Timestamp) -> usize {
+    /// Forgets flows without packets.
+    pub(super) fn expire(&mut self, now: Timestamp) {
         self.flows
             .retain(|_, cached| now.since(cached.last_packet) < CACHE_TTL);
-        self.flows.len()
     }
 }
--- a/crates/plantainquay_core/src/relay/balancer/event.rs
+++ b/crates/plantainquay_core/src/relay/balancer/event.rs
@@ -11,7 +11,7 @@
 };
 
 use super::cache::{Cached, Pending};
-use super::{BalancerCounters, RelayBalancer};
+use super::{BalancerCounters, RelayBalancer, is_suspect};
 use crate::Timestamp;
 use crate::relay::{
     Action, Actions, Candidate, CandidateState, Decision, DropReason, Packet, RelayView,
@@ -28,14 +28,8 @@
 /// Agents that one opening packet is sent to before the caller's own copy.
 const MAX_OPENING_TRIES: u32 = 3;
 
-/// Whether what is known was confirmed lately.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Certainty {
-    /// A route that is missing doesn't exist.
-    Current,
-    /// There may be newer routes.
-    Stale,
-}
+/// Age of the view up to which a missing route is taken not to exist.
+const CURRENT_VIEW: Duration = Duration::from_secs(4);
 
 /// What the decisions of one event share.
 pub(super) struct Context<'a> {
@@ -55,8 +49,9 @@
         }
     }
 
-    pub(super) fn on_unrouted(&mut self, certainty: Certainty, packet: &Packet) {
-        if self.view.generation().0 == 0 || certainty == Certainty::Stale {
+    pub(super) fn on_unrouted(&mut self, view_age: Option<Duration>, packet: &Packet) {
+        let is_current = view_age.is_some_and(|age| age <= CURRENT_VIEW);
+        if self.view.generation().0 == 0 || !is_current {
             self.count(|c| c.no_view += 1);
             return self.actions.push(Action::Drop(DropReason::NoView));
         }
@@ -69,7 +64,7 @@
         let mut shard = self.balancer.shard(flow);
         if let Some(cached) = shard.get_mut(flow, &packet.tuple) {
             let is_usable = self.may_hold(cached.service, cached.agent)
-                && !self.balancer.is_suspect(self.now, cached.agent);
+                && !is_suspect(&self.balancer.suspects.lock(), self.now, cached.agent);
             cached.last_packet = self.now;
             if is_usable {
                 // A copy follows the first packet; the agent knows where it went.
@@ -153,7 +148,8 @@
     /// Tries the route's other services, then resets the flow.
     pub(super) fn on_lost(&mut self, service: ServiceId, tuple: FiveTuple) {
         let flow = tuple.flow_id();
-        let Some(route) = self.view.route(tuple.destination).cloned() else {
+        let view = Arc::clone(&self.view);
+        let Some(route) = view.route(tuple.destination) else {
             return;
         };
         let mut shard = self.balancer.shard(flow);
@@ -250,9 +246,9 @@
         flow: FlowId,
         excluded: Option<SocketAddr>,
     ) -> Option<SocketAddr> {
+        let suspects = self.balancer.suspects.lock();
         let usable = |candidate: &Candidate| {
-            Some(candidate.agent) != excluded
-                && !self.balancer.is_suspect(self.now, candidate.agent)
+            Some(candidate.agent) != excluded && !is_suspect(&suspects, self.now, candidate.agent)
         };
         let entry = self.view.service(service)?.entry(flow, usable)?;
         Some(entry.agent)
@@ -270,11 +266,7 @@
     }
 
     fn send_established(&mut self, service: ServiceId, to: SocketAddr, packet: Bytes) {
-        let established = EstablishedPacket {
-            packet,
-            balancer: self.balancer.config.own,
-            hops: 0,
-        };
+        let established = EstablishedPacket::new(packet, self.balancer.config.own);
         self.send(service, to, RelayBody::Established(established));
     }
 
@@ -303,13 +295,3 @@
         counter(&mut self.balancer.counters.lock());
     }
 }
-
-/// Age of the view up to which a missing route is taken not to exist.
-const CURRENT_VIEW: Duration = Duration::from_secs(4);
-
-pub(super) fn certainty(view_age: Option<Duration>) -> Certainty {
-    match view_age {
-        Some(age) if age <= CURRENT_VIEW => Certainty::Current,
-        _ => Certainty::Stale,
-    }
-}
--- a/crates/plantainquay_core/src/relay/sources.rs
+++ b/crates/plantainquay_core/src/relay/sources.rs
@@ -16,13 +16,6 @@
 /// Sources that a process tries before it reads the store itself.
 const TRIED: usize = 3;
 
-/// A process that tells others of changes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Source {
-    /// Where it is asked.
-    pub address: SocketAddr,
-}
-
 /// The sources that the process on `own` tries, in order; empty when it is to read the store.
 ///
 /// Agents are the sources, since the store names every one of them. Each process computes the same
@@ -34,7 +27,7 @@
     own: IpAddr,
     data_centre: &Name,
     port: u16,
-) -> SmallVec<[Source; TRIED]> {
+) -> SmallVec<[SocketAddr; TRIED]> {
     let mut seen = HashSet::new();
     let ready = fleet.current(now).filter(|known| !known.entry.draining);
     let mut agents: Vec<Agent> = ready
@@ -65,7 +58,9 @@
         .iter()
         .filter(|agent| IpAddr::V4(agent.ip) != own);
     let chosen = rotated.chain(rest).take(TRIED);
-    chosen.map(|agent| agent.as_source(port)).collect()
+    chosen
+        .map(|agent| SocketAddr::new(IpAddr::V4(agent.ip), port))
+        .collect()
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -75,14 +70,6 @@
     ip: Ipv4Addr,
 }
 
-impl Agent {
-    fn as_source(&self, port: u16) -> Source {
-        Source {
-            address: SocketAddr::new(IpAddr::V4(self.ip), port),
-        }
-    }
-}
-
 fn own_hash(own: IpAddr) -> u64 {
     match own {
         IpAddr::V4(ip) => u64::from(ip.to_bits()),
--- a/crates/plantainquay_core/src/relay/view.rs
+++ b/crates/plantainquay_core/src/relay/view.rs
@@ -1,6 +1,7 @@
 //! Routes and upstreams as the packet path looks them up.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
@@ -30,6 +31,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServiceCandidates {
     candidates: Vec<Candidate>,
+    by_agent: HashMap<SocketAddr, usize>,
 }
 
 /// One upstream, named by the agent beside it.
@@ -192,7 +194,7 @@
     /// The upstream beside an agent.
     #[must_use]
     pub fn find(&self, agent: SocketAddr) -> Option<&Candidate> {
-        self.candidates.iter().find(|c| c.agent == agent)
+        self.candidates.get(*self.by_agent.get(&agent)?)
     }
 
     /// A random ready upstream whose agent is not `excluded`.
@@ -210,14 +212,17 @@
 
     /// Adds a candidate; of two with the same address, the one that is of more use stays.
     fn add(&mut self, candidate: Candidate) {
-        let same = self
-            .candidates
-            .iter_mut()
-            .find(|c| c.agent == candidate.agent);
-        match same {
-            Some(same) if candidate.state < same.state => *same = candidate,
-            Some(_) => {}
-            None => self.candidates.push(candidate),
+        match self.by_agent.entry(candidate.agent) {
+            Entry::Occupied(index) => {
+                let same = &mut self.candidates[*index.get()];
+                if candidate.state < same.state {
+                    *same = candidate;
+                }
+            }
+            Entry::Vacant(index) => {
+                index.insert(self.candidates.len());
+                self.candidates.push(candidate);
+            }
         }
     }
 }
--- a/crates/plantainquay_net/src/clock.rs
+++ b/crates/plantainquay_net/src/clock.rs
@@ -1,9 +1,15 @@
 //! The clock that gives deciding functions the present time.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use ntex::time::{Millis, sleep};
 use plantainquay_core::Timestamp;
 
+/// Waits for `time`, as far as the runtime's timers reach.
+pub(crate) async fn pause(time: Duration) {
+    sleep(Millis(u32::try_from(time.as_millis()).unwrap_or(u32::MAX))).await;
+}
+
 /// A clock that starts with the process and never goes back.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
--- a/crates/plantainquay_net/src/platform.rs
+++ b/crates/plantainquay_net/src/platform.rs
@@ -9,11 +9,12 @@
 use ntex::client::Client;
 use ntex::client::error::ClientError;
 use ntex::http::StatusCode;
-use ntex::time::{Millis, sleep};
+use ntex::time::Millis;
 use plantainquay_core::gossip::{is_watcher, poll_interval};
 use plantainquay_schema::{Document, Settings, instances_from};
 use thiserror::Error;
 
+use crate::clock::pause;
 use crate::{Clock, DocumentStore, InstanceView, event};
 
 /// Longest wait of one watch; the service answers earlier when something changes.
@@ -195,10 +196,6 @@
     }
 }
 
-async fn pause(time: Duration) {
-    sleep(Millis(u32::try_from(time.as_millis()).unwrap_or(u32::MAX))).await;
-}
-
 /// Reads a value; none when it still has the known revision.
 async fn read(
     client: &Client,
--- a/crates/plantainquay_net/src/relay/agent.rs
+++ b/crates/plantainquay_net/src/relay/agent.rs
@@ -1,18 +1,15 @@
 //! An agent's threads.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 
 use bytes::{Bytes, BytesMut};
 use plantainquay_core::relay::{RelayAgent, RelayAgentConfig};
 use plantainquay_schema::{RelayAgentSettings, RelaySettings};
 
-use super::carrier::{spawn, take_datagrams};
+use super::carrier::{SHARDS_PER_THREAD, spawn, take_datagrams};
 use super::{Carrier, PacketFormat, RelayStartError};
-use crate::{Clock, bind_udp};
-
-/// Shards of flows for each thread, so that threads seldom meet at a lock.
-const SHARDS_PER_THREAD: usize = 4;
+use crate::Clock;
 
 /// A running agent.
 #[derive(Debug)]
@@ -35,17 +32,13 @@
         format: PacketFormat,
         clock: Clock,
     ) -> Result<Arc<Self>, RelayStartError> {
-        let bind = |address| bind_udp(address).map_err(|e| RelayStartError::Socket(address, e));
-        let carrier = Carrier {
-            peer: bind(settings.peer)?,
-            packets: bind(agent.outbound)?,
-            caller_port: settings.packets.port(),
-            upstream: Some(agent.upstream),
+        let carrier = Carrier::bind(
+            settings,
+            agent.outbound,
+            Some(agent.upstream),
             format,
             clock,
-            resets: AtomicU64::new(0),
-            malformed: AtomicU64::new(0),
-        };
+        )?;
         let config = RelayAgentConfig {
             service: agent.service_id,
             own: settings.peer,
--- a/crates/plantainquay_net/src/relay/balancer.rs
+++ b/crates/plantainquay_net/src/relay/balancer.rs
@@ -8,12 +8,9 @@
 use plantainquay_core::relay::{RelayBalancer, RelayBalancerConfig};
 use plantainquay_schema::RelaySettings;
 
-use super::carrier::{spawn, take_datagrams};
+use super::carrier::{SHARDS_PER_THREAD, spawn, take_datagrams};
 use super::{Carrier, FleetState, PacketFormat, RelayStartError};
-use crate::{Clock, bind_udp};
-
-/// Shards of flows for each thread, so that threads seldom meet at a lock.
-const SHARDS_PER_THREAD: usize = 4;
+use crate::Clock;
 
 /// A running balancer.
 #[derive(Debug)]
@@ -38,17 +35,7 @@
         fleet: Arc<FleetState>,
         clock: Clock,
     ) -> Result<Arc<Self>, RelayStartError> {
-        let bind = |address| bind_udp(address).map_err(|e| RelayStartError::Socket(address, e));
-        let carrier = Carrier {
-            peer: bind(settings.peer)?,
-            packets: bind(settings.packets)?,
-            caller_port: settings.packets.port(),
-            upstream: None,
-            format,
-            clock,
-            resets: AtomicU64::new(0),
-            malformed: AtomicU64::new(0),
-        };
+        let carrier = Carrier::bind(settings, settings.packets, None, format, clock)?;
         let config = RelayBalancerConfig {
             own: settings.peer,
             shards: SHARDS_PER_THREAD * settings.threads,
@@ -84,9 +71,7 @@
         let own = Arc::clone(self);
         spawn("ticks", move || {
             let now = || own.carrier.clock.now();
-            let expire = || {
-                own.balancer.expire(now());
-            };
+            let expire = || own.balancer.expire(now());
             own.carrier.tick(|| own.balancer.on_tick(now()), expire);
         })?;
         Ok(())
@@ -100,9 +85,9 @@
             };
             let now = self.carrier.clock.now();
             self.last_packet.store(now.0, Ordering::Relaxed);
-            let age = self.fleet.age(now);
+            let view_age = || self.fleet.age(now);
             let bytes = Bytes::copy_from_slice(bytes);
-            let actions = self.balancer.on_packet(now, age, &packet, bytes);
+            let actions = self.balancer.on_packet(now, view_age, &packet, bytes);
             self.carrier.carry_out(actions);
         });
     }
--- a/crates/plantainquay_net/src/relay/carrier.rs
+++ b/crates/plantainquay_net/src/relay/carrier.rs
@@ -10,11 +10,11 @@
 use log::Level;
 use metrics::histogram;
 use plantainquay_core::relay::{Action, Actions, Note, Packet};
-use plantainquay_schema::{RelayBody, RelayMessage};
+use plantainquay_schema::{RelayBody, RelayMessage, RelaySettings};
 use thiserror::Error;
 
 use super::PacketFormat;
-use crate::{Clock, event};
+use crate::{Clock, bind_udp, event};
 
 /// Largest datagram, in bytes.
 const DATAGRAM_BYTES: usize = 2_048;
@@ -27,6 +27,9 @@
 /// Ticks between two looks at flows that may be forgotten.
 const TICKS_PER_EXPIRY: u64 = 50;
 
+/// Shards of flows for each thread, so that threads seldom meet at a lock.
+pub(super) const SHARDS_PER_THREAD: usize = 4;
+
 /// Why the relay can't start.
 #[derive(Debug, Error)]
 pub enum RelayStartError {
@@ -53,13 +56,31 @@
     pub format: PacketFormat,
     /// The process's clock.
     pub clock: Clock,
-    /// Resets sent to callers.
-    pub resets: AtomicU64,
     /// Datagrams that can't be understood.
     pub malformed: AtomicU64,
 }
 
 impl Carrier {
+    /// Binds the sockets; packets go through the one at `packets`.
+    pub(super) fn bind(
+        settings: &RelaySettings,
+        packets: SocketAddr,
+        upstream: Option<SocketAddr>,
+        format: PacketFormat,
+        clock: Clock,
+    ) -> Result<Self, RelayStartError> {
+        let bind = |address| bind_udp(address).map_err(|e| RelayStartError::Socket(address, e));
+        Ok(Self {
+            peer: bind(settings.peer)?,
+            packets: bind(packets)?,
+            caller_port: settings.packets.port(),
+            upstream,
+            format,
+            clock,
+            malformed: AtomicU64::new(0),
+        })
+    }
+
     /// Carries out actions in order.
     pub fn carry_out(&self, actions: Actions) {
         let mut buf = Vec::new();
@@ -81,7 +102,6 @@
                 Err(error) => event(Level::Warn, "message_unsent", &[("reason", &error)]),
             },
             Action::Reset { tuple, ack, reason } => {
-                self.resets.fetch_add(1, Ordering::Relaxed);
                 let pairs: [(&str, &dyn std::fmt::Display); 3] = [
                     ("caller", &tuple.source),
                     ("listener", &tuple.destination),
@@ -150,11 +170,11 @@
         ("generation", &note.generation),
         ("revision", &note.revision),
     ];
-    event(Level::Info, &note.decision.to_string(), &pairs);
+    let decision = note.decision.to_string();
+    event(Level::Info, &decision, &pairs);
     if note.decision.is_timed() {
         let elapsed = Duration::from_micros(number);
-        histogram!("relay_decision_seconds", "decision" => note.decision.to_string())
-            .record(elapsed);
+        histogram!("relay_decision_seconds", "decision" => decision).record(elapsed);
     }
 }
 
--- a/crates/plantainquay_net/src/relay/follow.rs
+++ b/crates/plantainquay_net/src/relay/follow.rs
@@ -15,6 +15,7 @@
 use prost::Message as _;
 
 use super::{FleetState, Freshness, StoreError, StoreReader};
+use crate::clock::pause;
 use crate::event;
 
 /// Longest wait for changes at a source.
@@ -101,10 +102,8 @@
         let own = &self.settings;
         let port = own.changes.port();
         let now = self.state.now();
-        self.state.with(|fleet| {
-            let sources = sources(fleet, now, own.changes.ip(), &own.data_centre, port);
-            sources.iter().map(|source| source.address).collect()
-        })
+        self.state
+            .with(|fleet| sources(fleet, now, own.changes.ip(), &own.data_centre, port).into_vec())
     }
 
     /// Hears of changes from the first source that knows what is in force, for as long as it does;
@@ -227,7 +226,7 @@
     async fn pause_until_next_read(&self) {
         let left = self.next_read.since(self.state.now());
         if left > Duration::ZERO {
-            sleep(Millis(u32::try_from(left.as_millis()).unwrap_or(u32::MAX))).await;
+            pause(left).await;
         }
     }
 }
--- a/crates/plantainquay_net/src/relay/metrics.rs
+++ b/crates/plantainquay_net/src/relay/metrics.rs
@@ -15,7 +15,7 @@
             let generation = fleet.routes().generation.0;
             (generation, fleet.revision(), upstreams, fleet.age(now))
         });
-        // Without a label, a state that was never confirmed would look fresh.
+        // Absent until the first time: any number would make an unconfirmed state look fresh.
         if let Some(age) = age {
             gauge!("relay_view_age_seconds").set(age.as_secs_f64());
         }
--- a/crates/plantainquay_schema/src/ids.rs
+++ b/crates/plantainquay_schema/src/ids.rs
@@ -76,6 +76,15 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FlowId(pub u64);
 
+impl FlowId {
+    /// Index of the flow's shard among `shards`, of which there must be at least one.
+    #[must_use]
+    pub fn shard(self, shards: usize) -> usize {
+        // The upper half: the lower bits choose the bucket.
+        usize::try_from(self.0 >> 32).unwrap_or(0) % shards
+    }
+}
+
 impl fmt::Display for FlowId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/plantainquay_schema/src/relay.rs
+++ b/crates/plantainquay_schema/src/relay.rs
@@ -80,6 +80,18 @@
     pub hops: u32,
 }
 
+impl EstablishedPacket {
+    /// A packet that no agent has passed on.
+    #[must_use]
+    pub fn new(packet: Bytes, balancer: SocketAddr) -> Self {
+        Self {
+            packet,
+            balancer,
+            hops: 0,
+        }
+    }
+}
+
 /// A datagram that can't be understood.
 #[derive(Debug, Error)]
 pub enum RelayError {
--- a/crates/plantainquay_schema/src/relay_settings.rs
+++ b/crates/plantainquay_schema/src/relay_settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::settings::check_address;
+use crate::settings::{check_address, default_to};
 use crate::{Faults, Name, ServiceId, wire, yaml};
 
 const DEFAULT_THREADS: u32 = 1;
@@ -87,14 +87,8 @@
     let store = check_address("store", &wire.store, faults);
     let peer_port = check_port("peer_port", wire.peer_port, faults);
     let metrics_port = check_port("metrics_port", wire.metrics_port, faults);
-    let threads = match wire.threads {
-        0 => DEFAULT_THREADS,
-        threads => threads.min(MAX_THREADS),
-    };
-    let stop_grace_s = match wire.stop_grace_s {
-        0 => DEFAULT_STOP_GRACE_S,
-        seconds => seconds,
-    };
+    let threads = default_to(wire.threads, DEFAULT_THREADS).min(MAX_THREADS);
+    let stop_grace_s = default_to(wire.stop_grace_s, DEFAULT_STOP_GRACE_S);
     let packets = packets?;
     let at = |port| SocketAddr::new(packets.ip(), port);
     Some(RelaySettings {
--- a/crates/plantainquay_schema/src/settings/check.rs
+++ b/crates/plantainquay_schema/src/settings/check.rs
@@ -146,7 +146,7 @@
     known.unwrap_or("info")
 }
 
-fn default_to<T: Default + PartialEq>(given: T, default: T) -> T {
+pub(crate) fn default_to<T: Default + PartialEq>(given: T, default: T) -> T {
     if given == T::default() {
         default
     } else {
--- a/crates/plantainquay_trace/src/relay/world.rs
+++ b/crates/plantainquay_trace/src/relay/world.rs
@@ -214,7 +214,7 @@
         match (arrival, &process.role) {
             (Arrival::FromCaller { packet, .. }, Role::Balancer(balancer)) => {
                 let described = describe(&packet, false);
-                balancer.on_packet(now, process.view_age(now), &described, packet)
+                balancer.on_packet(now, || process.view_age(now), &described, packet)
             }
             (
                 Arrival::FromUpstream {
--- a/crates/plantainquay_trace/tests/relay_replay.rs
+++ b/crates/plantainquay_trace/tests/relay_replay.rs
@@ -5,6 +5,10 @@
 use plantainquay_trace::{RelayWorld, parse_relay_trace};
 use rstest::rstest;
 
+const BALANCERS: u16 = 3;
+/// Upstreams of a trace that has no line `# upstreams:`.
+const UPSTREAMS: u16 = 4;
+const SEED: u64 = 1;
 /// Time after the last event for what comes of it.
 const TAIL_MS: u64 = 3_000;
 
@@ -14,7 +18,7 @@
     let text = std::fs::read_to_string(&path).expect("the trace is readable");
     let events = parse_relay_trace(&text).expect("the trace is well formed");
     let end_ms = events.last().map_or(0, |(at, _)| at + TAIL_MS);
-    let mut world = RelayWorld::new(3, 4, 1);
+    let mut world = RelayWorld::new(BALANCERS, upstreams(&text), SEED);
     world.replay(&events, end_ms);
     let summary = world.summary();
     let rendered = format!("{text}---\n{}---\n{summary:#?}\n", world.log());
@@ -28,3 +32,10 @@
     );
     assert_eq!(summary.astray, 0, "a flow's packets went astray");
 }
+
+fn upstreams(text: &str) -> u16 {
+    let named = text
+        .lines()
+        .find_map(|line| line.strip_prefix("# upstreams: "));
+    named.map_or(UPSTREAMS, |n| n.parse().expect("a number of upstreams"))
+}
--- a/crates/plantainquayctl/src/explain.rs
+++ b/crates/plantainquayctl/src/explain.rs
@@ -12,7 +12,7 @@
 use prost::Message as _;
 use serde_json::json;
 
-use crate::load::UsageError;
+use crate::load::{UsageError, address};
 use crate::{Answer, Report};
 
 const TIMEOUT: Duration = Duration::from_secs(3);
@@ -34,11 +34,6 @@
     Ok(explain_flow(changes, tuple))
 }
 
-fn address(text: &str) -> Result<SocketAddr, UsageError> {
-    text.parse()
-        .map_err(|_e| UsageError::Address(text.to_owned()))
-}
-
 /// What a daemon with this state would do with a flow; the answer is no where it has no way to go.
 #[must_use]
 pub fn explain_flow(changes: Changes, tuple: FiveTuple) -> Report {
--- a/crates/plantainquayctl/src/load.rs
+++ b/crates/plantainquayctl/src/load.rs
@@ -35,6 +35,12 @@
         .map_err(|faults| UsageError::Faults(path.display().to_string(), faults))
 }
 
+/// Reads an address of the command line.
+pub(crate) fn address(text: &str) -> Result<SocketAddr, UsageError> {
+    text.parse()
+        .map_err(|_e| UsageError::Address(text.to_owned()))
+}
+
 pub(crate) fn read(path: &Path) -> Result<String, UsageError> {
     fs::read_to_string(path).map_err(|error| UsageError::Read(path.display().to_string(), error))
 }
--- a/crates/plantainquayctl/src/status.rs
+++ b/crates/plantainquayctl/src/status.rs
@@ -7,7 +7,7 @@
 use plantainquay_schema::wire::status::Status;
 use serde_json::json;
 
-use crate::load::UsageError;
+use crate::load::{UsageError, address};
 use crate::{Answer, Report};
 
 const TIMEOUT: Millis = Millis(3_000);
@@ -20,13 +20,7 @@
 ///
 /// Fails when an address is not `ip:port`.
 pub fn status<'a>(addresses: impl Iterator<Item = &'a str>) -> Result<Report, UsageError> {
-    let parse = |text: &str| {
-        text.parse()
-            .map_err(|_e| UsageError::Address(text.to_owned()))
-    };
-    let addresses = addresses
-        .map(parse)
-        .collect::<Result<Vec<SocketAddr>, _>>()?;
+    let addresses = addresses.map(address).collect::<Result<_, _>>()?;
     Ok(table(&ask_all(addresses)))
 }
 
--- a/crates/plantainquayd/src/relay.rs
+++ b/crates/plantainquayd/src/relay.rs
@@ -137,15 +137,16 @@
                     return;
                 }
             },
-            Self::Agent(threads, upstream) => {
-                while !has_ended(*upstream) && clock.now().since(start) < longest {
-                    sleep(DRAIN_CHECK).await;
-                }
+            Self::Agent(threads, upstream) => loop {
                 if has_ended(*upstream) {
                     threads.carrier.carry_out(threads.agent.upstream_ended());
-                    sleep(RESET_TIME).await;
+                    return sleep(RESET_TIME).await;
                 }
-            }
+                if clock.now().since(start) >= longest {
+                    return;
+                }
+                sleep(DRAIN_CHECK).await;
+            },
         }
     }
 }
