Leave out at most a third of a service, retry at untried agents

Cause: a balancer left out every agent that had been silent for 2 s, however many, so that one that was cut off itself sent all openings to the few it still heard. A retry excluded the last agent only: with one usable agent it went to the same one again, and that agent's single refusal then told the caller nothing, since two were awaited.

Ruled out: leaving out none (each opening to a dead agent waits 60 ms); a cap on retries as well, which would send the second try to an agent known to be silent.

Change: first tries leave out the third that was silent last; a retry goes to an agent that has not had the packet, one that answered lately if there is one. core/relay/opening.rs failed before in five cases. The fix of late refusals has a test that fails without it now.

--- a/crates/plantainquay_core/src/relay/balancer.rs
+++ b/crates/plantainquay_core/src/relay/balancer.rs
@@ -2,8 +2,8 @@
 
 mod cache;
 mod event;
+mod suspects;
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,13 +14,11 @@
 
 use self::cache::CacheShard;
 use self::event::{Context, OPENING_RETRY};
+use self::suspects::Suspects;
 use super::pause::PauseMeter;
 use super::{Action, Actions, DropReason, Packet, RelayView};
 use crate::Timestamp;
 
-/// Time for which an agent that didn't answer an opening packet gets no other one.
-const SUSPICION: Duration = Duration::from_secs(2);
-
 /// Fixed facts about a balancer.
 #[derive(Clone, Debug)]
 pub struct RelayBalancerConfig {
@@ -30,9 +28,6 @@
     pub shards: usize,
 }
 
-/// Agents that were silent, and since when.
-type Suspects = HashMap<SocketAddr, Timestamp>;
-
 /// A balancer.
 #[derive(Debug)]
 pub struct RelayBalancer {
@@ -116,7 +111,7 @@
 
     /// Decides on a message from an agent.
     pub fn on_message(&self, now: Timestamp, from: SocketAddr, message: &RelayMessage) -> Actions {
-        self.suspects.lock().remove(&from);
+        self.suspects.lock().remove(from);
         let mut cx = Context::new(self, now);
         match message.body {
             RelayBody::Accepted(tuple) => cx.on_accepted(from, tuple),
@@ -132,9 +127,7 @@
     pub fn on_tick(&self, now: Timestamp) -> Actions {
         let mut cx = Context::new(self, now);
         self.pauses.tick(now);
-        self.suspects
-            .lock()
-            .retain(|_, since| now.since(*since) < SUSPICION);
+        self.suspects.lock().expire(now);
         for shard in &self.shards {
             let mut shard = shard.lock();
             while let Some((flow, cached)) = shard.next_due(now) {
@@ -157,9 +150,3 @@
         self.shards[flow.shard(self.shards.len())].lock()
     }
 }
-
-/// Whether an agent has left an opening packet without an answer lately.
-fn is_suspect(suspects: &Suspects, now: Timestamp, agent: SocketAddr) -> bool {
-    let since = suspects.get(&agent);
-    since.is_some_and(|since| now.since(*since) < SUSPICION)
-}
--- a/crates/plantainquay_core/src/relay/balancer/cache.rs
+++ b/crates/plantainquay_core/src/relay/balancer/cache.rs
@@ -46,9 +46,10 @@
     pub(super) is_repeated: bool,
     /// When it came.
     pub(super) since: Timestamp,
-    /// Agents that it was sent to, and those that refused it.
-    pub(super) tries: u32,
-    pub(super) refusals: u32,
+    /// Agents that it was sent to.
+    pub(super) tried: SmallVec<[SocketAddr; 3]>,
+    /// How many of them refused it.
+    pub(super) refusals: usize,
 }
 
 impl Cached {
--- a/crates/plantainquay_core/src/relay/balancer/event.rs
+++ b/crates/plantainquay_core/src/relay/balancer/event.rs
@@ -9,9 +9,10 @@
     EstablishedPacket, FiveTuple, FlowId, OpeningPacket, RelayBody, RelayMessage, Route, ServiceId,
     Visited,
 };
+use smallvec::smallvec;
 
 use super::cache::{Cached, Pending};
-use super::{BalancerCounters, RelayBalancer, is_suspect};
+use super::{BalancerCounters, RelayBalancer};
 use crate::Timestamp;
 use crate::relay::{
     Action, Actions, Candidate, CandidateState, Decision, DropReason, Packet, RelayView,
@@ -26,7 +27,7 @@
 /// Time after which a caller that got no answer may have sent a copy through another balancer.
 const FIRST_COPY: Duration = Duration::from_millis(150);
 /// Agents that one opening packet is sent to before the caller's own copy.
-const MAX_OPENING_TRIES: u32 = 3;
+const MAX_OPENING_TRIES: usize = 3;
 
 /// Age of the view up to which a missing route is taken not to exist.
 const CURRENT_VIEW: Duration = Duration::from_secs(4);
@@ -64,7 +65,11 @@
         let mut shard = self.balancer.shard(flow);
         if let Some(cached) = shard.get_mut(flow, &packet.tuple) {
             let is_usable = self.may_hold(cached.service, cached.agent)
-                && !is_suspect(&self.balancer.suspects.lock(), self.now, cached.agent);
+                && !self
+                    .balancer
+                    .suspects
+                    .lock()
+                    .contains(self.now, cached.agent);
             cached.last_packet = self.now;
             if is_usable {
                 // A copy follows the first packet; the agent knows where it went.
@@ -75,14 +80,14 @@
         let Some(service) = RelayView::choose_service(route, flow).map(|s| s.id) else {
             return self.actions.push(Action::Drop(DropReason::NoUpstream));
         };
-        let Some(agent) = self.entry(service, flow, None) else {
+        let Some(agent) = self.first_entry(service, flow) else {
             return self.refuse_opening(packet.tuple, packet.is_repeated_opening());
         };
         let pending = Pending {
             packet: bytes.clone(),
             is_repeated: packet.is_repeated_opening(),
             since: self.now,
-            tries: 1,
+            tried: smallvec![agent],
             refusals: 0,
         };
         let cached = Cached::new(self.now, packet.tuple, service, agent).with_pending(pending);
@@ -185,7 +190,7 @@
             return;
         };
         pending.refusals += 1;
-        if pending.refusals < pending.tries {
+        if pending.refusals < pending.tried.len() {
             return;
         }
         let is_old = self.now.since(pending.since) >= FIRST_COPY;
@@ -210,21 +215,20 @@
         let Some(pending) = &mut cached.pending else {
             return false;
         };
-        if pending.tries >= MAX_OPENING_TRIES {
+        self.balancer.suspects.lock().add(self.now, cached.agent);
+        if pending.tried.len() >= MAX_OPENING_TRIES {
             return false;
         }
-        let silent = cached.agent;
-        self.balancer.suspects.lock().insert(silent, self.now);
-        let Some(agent) = self.entry(cached.service, flow, Some(silent)) else {
+        let Some(agent) = self.next_entry(cached.service, flow, &pending.tried) else {
             return false;
         };
-        pending.tries += 1;
+        pending.tried.push(agent);
         cached.agent = agent;
         let packet = pending.packet.clone();
         let service = cached.service;
-        let tries = u64::from(pending.tries);
+        let tries = u64::try_from(pending.tried.len()).ok();
         self.count(|c| c.retried_openings += 1);
-        self.note(cached.tuple, Decision::OpeningRetried, agent, Some(tries));
+        self.note(cached.tuple, Decision::OpeningRetried, agent, tries);
         self.send_opening(service, agent, packet, false);
         true
     }
@@ -240,18 +244,33 @@
         Some(owner.agent)
     }
 
-    fn entry(
+    /// The agent that an opening packet goes to at first.
+    fn first_entry(&self, service: ServiceId, flow: FlowId) -> Option<SocketAddr> {
+        let service = self.view.service(service)?;
+        let left_out = self.balancer.suspects.lock().left_out(self.now, service);
+        let usable = |candidate: &Candidate| !left_out.contains(&candidate.agent);
+        let entry = service
+            .entry(flow, usable)
+            .or_else(|| service.entry(flow, |_| true));
+        Some(entry?.agent)
+    }
+
+    /// The agent that an opening packet goes to after others were silent; one that has lately
+    /// answered, if there is any.
+    fn next_entry(
         &self,
         service: ServiceId,
         flow: FlowId,
-        excluded: Option<SocketAddr>,
+        tried: &[SocketAddr],
     ) -> Option<SocketAddr> {
+        let service = self.view.service(service)?;
         let suspects = self.balancer.suspects.lock();
-        let usable = |candidate: &Candidate| {
-            Some(candidate.agent) != excluded && !is_suspect(&suspects, self.now, candidate.agent)
-        };
-        let entry = self.view.service(service)?.entry(flow, usable)?;
-        Some(entry.agent)
+        let untried = |candidate: &Candidate| !tried.contains(&candidate.agent);
+        let usable = |c: &Candidate| untried(c) && !suspects.contains(self.now, c.agent);
+        let entry = service
+            .entry(flow, usable)
+            .or_else(|| service.entry(flow, untried));
+        Some(entry?.agent)
     }
 
     fn send_opening(&mut self, service: ServiceId, to: SocketAddr, packet: Bytes, chosen: bool) {
--- a/crates/plantainquay_core/src/relay/view.rs
+++ b/crates/plantainquay_core/src/relay/view.rs
@@ -155,13 +155,10 @@
             .or_else(|| self.candidates.first())
     }
 
-    /// The agent where an opening packet begins: the first of the flow's ranking that is `usable`.
-    ///
-    /// When no ready upstream is usable, any ready one serves.
+    /// The ready upstream that the flow ranks first among those that are `usable`.
     pub fn entry(&self, flow: FlowId, usable: impl Fn(&Candidate) -> bool) -> Option<&Candidate> {
-        let ready = || self.ready();
-        let best = ready().filter(|c| usable(c)).min_by_key(|c| c.score(flow));
-        best.or_else(|| ready().min_by_key(|c| c.score(flow)))
+        let usable = self.ready().filter(|c| usable(c));
+        usable.min_by_key(|c| c.score(flow))
     }
 
     /// Every upstream in the order in which the flow prefers them.
--- a/crates/plantainquay_core/tests/relay_lookup.rs
+++ b/crates/plantainquay_core/tests/relay/lookup.rs
@@ -1,17 +1,14 @@
 //! When an agent may say that nobody holds a flow.
 
-#[path = "support/relay.rs"]
-mod support;
-
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::support::{PEER_PORT, agent, established, message, packet, process, upstream};
 use bytes::Bytes;
 use plantainquay_core::relay::{Action, Actions, Packet, RelayView};
 use plantainquay_core::{FiveTuple, Fleet, Timestamp};
 use plantainquay_schema::{Changes, RelayBody};
 use rstest::rstest;
-use support::{PEER_PORT, agent, established, message, packet, process, upstream};
 
 fn view(age: Option<Duration>) -> Arc<RelayView> {
     let mut fleet = Fleet::default();
--- /dev/null
+++ b/crates/plantainquay_core/tests/relay/main.rs
@@ -0,0 +1,6 @@
+//! Decisions of balancers and agents on single packets and messages.
+
+mod lookup;
+mod opening;
+mod pacing;
+mod support;
--- /dev/null
+++ b/crates/plantainquay_core/tests/relay/opening.rs
@@ -0,0 +1,150 @@
+//! Which agent a balancer sends an opening packet to, and when it says that nobody takes a flow.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::support::{LISTENER_IP, PEER_PORT, message, process, route, upstream};
+use bytes::Bytes;
+use plantainquay_core::relay::{
+    Action, Actions, Packet, RelayBalancer, RelayBalancerConfig, RelayView,
+};
+use plantainquay_core::{FiveTuple, Fleet, Timestamp};
+use plantainquay_schema::{Changes, Generation, RelayBody, RouteDocument};
+use rstest::rstest;
+
+const LISTENER: u16 = 80;
+/// Interval of a balancer's ticks, in ms.
+const TICK_MS: u64 = 10;
+
+fn balancer(upstreams: u8) -> RelayBalancer {
+    let routes = RouteDocument {
+        generation: Generation(1),
+        routes: vec![route(LISTENER, 1)],
+    };
+    let mut fleet = Fleet::default();
+    let changes = Changes {
+        age: Some(Duration::ZERO),
+        routes: Some(routes),
+        upstreams: (1..=upstreams).map(upstream).collect(),
+        ..Changes::default()
+    };
+    fleet.apply(Timestamp(0), changes);
+    let view = RelayView::build(&fleet, Timestamp(0), PEER_PORT, &RelayView::default());
+    let balancer = RelayBalancer::new(RelayBalancerConfig {
+        own: process(200),
+        shards: 1,
+    });
+    balancer.install(Arc::new(view));
+    balancer
+}
+
+fn tuple(caller: u16) -> FiveTuple {
+    FiveTuple {
+        source: SocketAddr::new(Ipv4Addr::new(198, 51, 100, 1).into(), caller),
+        destination: SocketAddr::new(LISTENER_IP.into(), LISTENER),
+    }
+}
+
+fn open(balancer: &RelayBalancer, at: u64, caller: u16) -> Actions {
+    let packet = Packet {
+        syn: true,
+        acknowledges: false,
+        ack: 0,
+        ..crate::support::packet(tuple(caller), 0)
+    };
+    let now = Timestamp::from_millis(at);
+    let age = || Some(Duration::ZERO);
+    balancer.on_packet(now, age, &packet, Bytes::from_static(b"open"))
+}
+
+/// Agents that opening packets go to, by the caller's port.
+fn openings(actions: &Actions) -> Vec<(u16, SocketAddr)> {
+    let sent = actions.iter().filter_map(|action| match action {
+        Action::Note(note) => Some((note.tuple.source.port(), note.agent?)),
+        _ => None,
+    });
+    sent.collect()
+}
+
+fn is_reset(actions: &Actions) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Reset { .. }))
+}
+
+/// Opens a flow each tick for a second; agents from `silent` on answer nothing. Returns the agents
+/// that each flow's packet went to, in order.
+fn play(upstreams: u8, silent: u8) -> BTreeMap<u16, Vec<SocketAddr>> {
+    let balancer = balancer(upstreams);
+    let mut sent: BTreeMap<u16, Vec<SocketAddr>> = BTreeMap::new();
+    for at in (0..1_000).step_by(usize::try_from(TICK_MS).expect("a small number")) {
+        let caller = u16::try_from(1_024 + at).expect("a port");
+        let mut actions = balancer.on_tick(Timestamp::from_millis(at));
+        actions.extend(open(&balancer, at, caller));
+        for (port, agent) in openings(&actions) {
+            sent.entry(port).or_default().push(agent);
+            if agent < process(silent) {
+                let accepted = message(RelayBody::Accepted(tuple(port)));
+                balancer.on_message(Timestamp::from_millis(at), agent, &accepted);
+            }
+        }
+    }
+    sent
+}
+
+/// One that sees many agents silent is as likely cut off itself, and would flood the others.
+#[rstest]
+#[case::small(3, 2, 2)]
+#[case::middle(6, 2, 4)]
+#[case::large(11, 4, 8)]
+fn silent_agents_beyond_a_third_still_get_first_tries(
+    #[case] upstreams: u8,
+    #[case] silent: u8,
+    #[case] at_least: usize,
+) {
+    let sent = play(upstreams, silent);
+    let late = sent.iter().filter(|(port, _)| **port >= 1_024 + 300);
+    let first: BTreeSet<SocketAddr> = late.map(|(_, agents)| agents[0]).collect();
+    assert!(first.len() >= at_least, "first tries go to {first:?} only");
+}
+
+/// A third or less is left out, so that openings don't wait for a retry.
+#[test]
+fn silent_third_is_left_out() {
+    let sent = play(6, 5);
+    let late = sent.iter().filter(|(port, _)| **port >= 1_024 + 700);
+    let first: BTreeSet<SocketAddr> = late.map(|(_, agents)| agents[0]).collect();
+    assert_eq!(first, (1..5).map(process).collect());
+}
+
+#[rstest]
+#[case(3, 2)]
+#[case(6, 2)]
+#[case(11, 1)]
+fn retry_goes_to_an_agent_that_has_not_had_the_packet(#[case] upstreams: u8, #[case] silent: u8) {
+    for (port, agents) in play(upstreams, silent) {
+        let distinct: BTreeSet<&SocketAddr> = agents.iter().collect();
+        assert_eq!(
+            distinct.len(),
+            agents.len(),
+            "flow {port} went to {agents:?}"
+        );
+    }
+}
+
+/// A caller repeats its packet after 200 ms, maybe through another balancer.
+#[rstest]
+#[case::at_once(10, true)]
+#[case::before_a_copy(140, true)]
+#[case::as_a_copy_may_be_on_its_way(160, false)]
+fn refusal_tells_the_caller_only_before_its_copy(#[case] after: u64, #[case] told: bool) {
+    let balancer = balancer(1);
+    balancer.on_tick(Timestamp(0));
+    let sent = openings(&open(&balancer, 0, 5_000));
+    for at in (TICK_MS..=after).step_by(usize::try_from(TICK_MS).expect("a small number")) {
+        balancer.on_tick(Timestamp::from_millis(at));
+    }
+    let refused = message(RelayBody::Refused(tuple(5_000)));
+    let actions = balancer.on_message(Timestamp::from_millis(after), sent[0].1, &refused);
+    assert_eq!(is_reset(&actions), told);
+}
--- a/crates/plantainquay_core/tests/relay_pacing.rs
+++ b/crates/plantainquay_core/tests/relay/pacing.rs
@@ -1,33 +1,19 @@
 //! Requests beyond what an upstream works on wait at its agent.
 
-#[path = "support/relay.rs"]
-mod support;
-
 use std::fmt::Write as _;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
 
+use crate::support::{PEER_PORT, established, process, route, upstream};
 use bytes::Bytes;
 use plantainquay_core::relay::{Action, Actions, Packet, RelayAgent, RelayView};
 use plantainquay_core::{FiveTuple, Fleet, Timestamp};
-use plantainquay_schema::{Changes, Generation, Route, RouteDocument, WeightedService};
-use support::{PEER_PORT, SERVICE, established, process, upstream};
+use plantainquay_schema::{Changes, Generation, RouteDocument};
 
 /// Listeners whose requests go first, and after them.
 const URGENT: u16 = 80;
 const PLAIN: u16 = 81;
 
-fn route(port: u16, priority: u32) -> Route {
-    Route {
-        listener: SocketAddrV4::new(Ipv4Addr::new(192, 0, 2, 1), port),
-        services: [WeightedService::new(SERVICE, 1)].into_iter().collect(),
-        idempotent: true,
-        timeout: Duration::from_millis(500),
-        priority,
-    }
-}
-
 fn agent() -> RelayAgent {
     let routes = RouteDocument {
         generation: Generation(1),
@@ -40,7 +26,7 @@
         ..Changes::default()
     };
     fleet.apply(Timestamp(0), changes);
-    let agent = support::agent();
+    let agent = crate::support::agent();
     let view = RelayView::build(&fleet, Timestamp(0), PEER_PORT, &RelayView::default());
     agent.install(Arc::new(view));
     agent
@@ -51,7 +37,7 @@
         source: SocketAddr::new(Ipv4Addr::new(198, 51, 100, 1).into(), caller),
         destination: SocketAddr::new(Ipv4Addr::new(192, 0, 2, 1).into(), listener),
     };
-    support::packet(tuple, data_bytes)
+    crate::support::packet(tuple, data_bytes)
 }
 
 fn send(agent: &RelayAgent, at: u64, packet: &Packet, text: &str) -> Actions {
--- a/crates/plantainquay_core/tests/support/relay.rs
+++ b/crates/plantainquay_core/tests/relay/support.rs
@@ -1,13 +1,14 @@
 //! Upstreams, packets and messages for tests of the relay.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
 use bytes::Bytes;
 use plantainquay_core::FiveTuple;
 use plantainquay_core::relay::{Packet, RelayAgent, RelayAgentConfig};
 use plantainquay_schema::{
-    EstablishedPacket, Incarnation, RelayBody, RelayMessage, ServiceId, UpstreamEntry,
+    EstablishedPacket, Incarnation, RelayBody, RelayMessage, Route, ServiceId, UpstreamEntry,
+    WeightedService,
 };
 
 /// Port of messages between processes.
@@ -16,6 +17,9 @@
 /// Name of the only service.
 pub const SERVICE: &str = "feed";
 
+/// Address of every route.
+pub const LISTENER_IP: Ipv4Addr = Ipv4Addr::new(192, 0, 2, 1);
+
 pub fn process(number: u8) -> SocketAddr {
     SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, number)), PEER_PORT)
 }
@@ -73,3 +77,14 @@
         hops: 0,
     }))
 }
+
+/// The route of a port, with requests that callers give up after 500 ms.
+pub fn route(port: u16, priority: u32) -> Route {
+    Route {
+        listener: SocketAddrV4::new(LISTENER_IP, port),
+        services: [WeightedService::new(SERVICE, 1)].into_iter().collect(),
+        idempotent: true,
+        timeout: Duration::from_millis(500),
+        priority,
+    }
+}
