Check routes in the platform's format, tell the time to ready, set the log level

Cause: an operator could ask a running daemon where a flow would go, but not what a version of the routes would do before it is published; no metric told how long a process took to become ready; the price of logs could not be measured, since the level was fixed; an opening packet that was passed on after its upstream returned it left no line that named the next agent. Settings of the relay had no test of their faults.

Ruled out: a histogram of the time to ready, since a process has one.

--- a/crates/plantainquay_core/src/relay/agent/opening.rs
+++ b/crates/plantainquay_core/src/relay/agent/opening.rs
@@ -138,6 +138,13 @@
         Some(next) if opening.visited.len() < MAX_VISITS => {
             opening.chosen = true;
             cx.count(|c| c.passed_on += 1);
+            let load = own_load(cx);
+            cx.note(
+                packet.tuple,
+                Decision::OpeningPassedOn,
+                Some(next),
+                load.into(),
+            );
             cx.send(next, RelayBody::Opening(opening));
         }
         _ => refuse(cx, &opening, packet),
--- a/crates/plantainquay_core/src/relay/view.rs
+++ b/crates/plantainquay_core/src/relay/view.rs
@@ -107,6 +107,12 @@
         self.is_confirmed
     }
 
+    /// Whether there are routes, and routes and upstreams were known to be complete.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        self.is_confirmed && self.generation.0 > 0
+    }
+
     /// A note of a decision that this view has led to.
     pub(super) fn note(
         &self,
--- a/crates/plantainquay_net/src/relay/fleet_state.rs
+++ b/crates/plantainquay_net/src/relay/fleet_state.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -25,6 +26,8 @@
     is_cut_off: AtomicBool,
     /// Rises with each change.
     changed: watch::Sender<u64>,
+    /// Time from the start of the process to the first view that is known to be current.
+    start_to_ready: OnceLock<Duration>,
     peer_port: u16,
     clock: Clock,
 }
@@ -51,6 +54,7 @@
             install: Mutex::new(None),
             is_cut_off: AtomicBool::new(true),
             changed: watch::Sender::new(0),
+            start_to_ready: OnceLock::new(),
             peer_port,
             clock,
         }
@@ -70,6 +74,30 @@
         if applied != Applied::default() || is_first_confirmed {
             self.install(now, &mut inner);
             log_change(applied, &inner.fleet, now, source);
+            if inner.view.is_current() {
+                self.note_ready(now);
+            }
+        }
+    }
+
+    /// Whether routes and upstreams were ever known to be current; once they were, what is known
+    /// serves even while the store is away.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.start_to_ready.get().is_some()
+    }
+
+    /// Time from the start of the process until it was ready.
+    #[must_use]
+    pub fn start_to_ready(&self) -> Option<Duration> {
+        self.start_to_ready.get().copied()
+    }
+
+    fn note_ready(&self, now: Timestamp) {
+        let after = now.since(Timestamp::default());
+        if self.start_to_ready.set(after).is_ok() {
+            let after_ms = after.as_millis();
+            event(Level::Info, "ready", &[("after_ms", &after_ms)]);
         }
     }
 
--- a/crates/plantainquay_net/src/relay/metrics.rs
+++ b/crates/plantainquay_net/src/relay/metrics.rs
@@ -19,6 +19,9 @@
         if let Some(age) = age {
             gauge!("relay_view_age_seconds").set(age.as_secs_f64());
         }
+        if let Some(after) = self.start_to_ready() {
+            gauge!("relay_start_to_ready_seconds").set(after.as_secs_f64());
+        }
         gauge!("relay_routes_generation").set(to_f64(generation));
         gauge!("relay_upstreams_revision").set(to_f64(revision));
         gauge!("relay_upstreams").set(to_f64(upstreams as u64));
--- a/crates/plantainquay_schema/src/relay_settings.rs
+++ b/crates/plantainquay_schema/src/relay_settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::settings::{check_address, default_to};
+use crate::settings::{check_address, check_log_level, default_to};
 use crate::{Faults, Name, ServiceId, wire, yaml};
 
 const DEFAULT_THREADS: u32 = 1;
@@ -35,6 +35,8 @@
     pub threads: usize,
     /// Time between the request to stop and the kill.
     pub stop_grace: Duration,
+    /// Least severe level that is logged.
+    pub log_level: Name,
 }
 
 /// What a daemon of the relay does.
@@ -89,6 +91,7 @@
     let metrics_port = check_port("metrics_port", wire.metrics_port, faults);
     let threads = default_to(wire.threads, DEFAULT_THREADS).min(MAX_THREADS);
     let stop_grace_s = default_to(wire.stop_grace_s, DEFAULT_STOP_GRACE_S);
+    let log_level = check_log_level(&wire.log_level, faults);
     let packets = packets?;
     let at = |port| SocketAddr::new(packets.ip(), port);
     Some(RelaySettings {
@@ -103,6 +106,7 @@
         store: store?,
         threads: threads as usize,
         stop_grace: Duration::from_secs(stop_grace_s),
+        log_level: log_level.into(),
     })
 }
 
--- a/crates/plantainquay_schema/src/settings/check.rs
+++ b/crates/plantainquay_schema/src/settings/check.rs
@@ -17,7 +17,7 @@
 const MAX_KEYS: usize = 2;
 const MAX_THREADS: u32 = 64;
 const MAX_SHARDS: u32 = 1_024;
-const LOG_LEVELS: [&str; 4] = ["error", "warn", "info", "debug"];
+const LOG_LEVELS: [&str; 5] = ["off", "error", "warn", "info", "debug"];
 
 impl TryFrom<wire::settings::Settings> for Settings {
     type Error = Faults;
@@ -136,7 +136,7 @@
     count as usize
 }
 
-fn check_log_level(level: &str, faults: &mut Faults) -> &'static str {
+pub(crate) fn check_log_level(level: &str, faults: &mut Faults) -> &'static str {
     if level.is_empty() {
         return "info";
     }
--- a/crates/plantainquayctl/src/check.rs
+++ b/crates/plantainquayctl/src/check.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use plantainquay_schema::{Document, Faults};
+use plantainquay_schema::Document;
 use serde_json::json;
 
 use crate::load::{UsageError, read};
@@ -16,7 +16,7 @@
 pub fn check(path: &Path) -> Result<Report, UsageError> {
     Ok(match Document::from_yaml(&read(path)?) {
         Ok(document) => good(&document),
-        Err(faults) => bad(&faults),
+        Err(faults) => Report::of_faults(&[&faults]),
     })
 }
 
@@ -41,14 +41,3 @@
         }),
     }
 }
-
-fn bad(faults: &Faults) -> Report {
-    let listed = faults
-        .iter()
-        .map(|f| json!({ "path": f.path, "reason": f.reason }));
-    Report {
-        answer: Answer::No,
-        text: faults.to_string(),
-        json: json!({ "good": false, "faults": listed.collect::<Vec<_>>() }),
-    }
-}
--- a/crates/plantainquayctl/src/cli.rs
+++ b/crates/plantainquayctl/src/cli.rs
@@ -5,7 +5,10 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use crate::load::UsageError;
-use crate::{OutputFormat, Report, check, diff, digest, explain, promote, status};
+use crate::{
+    OutputFormat, Report, check, check_routes, diff, digest, explain, explain_routes, promote,
+    status,
+};
 
 /// The command line's shape.
 #[must_use]
@@ -46,8 +49,7 @@
                     "ADDRESS",
                     "ip:port at which the daemon tells of changes",
                 ))
-                .arg(text("CALLER", "ip:port of the caller"))
-                .arg(text("LISTENER", "ip:port that the caller sends to")),
+                .args(flow()),
         )
         .subcommand(
             Command::new("promote")
@@ -61,6 +63,7 @@
                         .help("The document in force in production"),
                 ),
         )
+        .subcommand(routes())
         .subcommand(
             Command::new("status").about("Show daemons").arg(
                 Arg::new("ADDRESS")
@@ -86,14 +89,16 @@
         Some(("check", sub)) => check(path(sub, "FILE"))?,
         Some(("diff", sub)) => diff(path(sub, "OLD"), path(sub, "NEW"))?,
         Some(("digest", sub)) => digest(path(sub, "FILE"))?,
-        Some(("explain", sub)) => {
-            let word = |name: &str| sub.get_one::<String>(name).map_or("", String::as_str);
-            explain(word("ADDRESS"), word("CALLER"), word("LISTENER"))?
-        }
+        Some(("explain", sub)) => explain(
+            word(sub, "ADDRESS"),
+            word(sub, "CALLER"),
+            word(sub, "LISTENER"),
+        )?,
         Some(("promote", sub)) => {
             let in_force = sub.get_one::<PathBuf>("IN_FORCE").map(PathBuf::as_path);
             promote(path(sub, "TRIAL"), path(sub, "PRODUCTION"), in_force)?
         }
+        Some(("routes", sub)) => run_routes(sub)?,
         Some(("status", sub)) => {
             let addresses = sub.get_many::<String>("ADDRESS").into_iter().flatten();
             status(addresses.map(String::as_str))?
@@ -103,6 +108,59 @@
     Ok((report, format))
 }
 
+/// Commands for files in the platform's format.
+fn routes() -> Command {
+    let upstreams = |required| {
+        file("UPSTREAMS")
+            .long("upstreams")
+            .required(required)
+            .help("The store's answer to a read of all items")
+    };
+    Command::new("routes")
+        .about("Check routes in the platform's format, or explain what they do")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("check")
+                .about("List the faults of routes, and of upstreams if they are given")
+                .arg(file("FILE"))
+                .arg(upstreams(false)),
+        )
+        .subcommand(
+            Command::new("explain")
+                .about("Say where a daemon that knows them would send a flow, and why")
+                .arg(file("FILE"))
+                .arg(upstreams(true))
+                .args(flow()),
+        )
+}
+
+fn run_routes(matches: &ArgMatches) -> Result<Report, UsageError> {
+    match matches.subcommand() {
+        Some(("check", sub)) => {
+            let upstreams = sub.get_one::<PathBuf>("UPSTREAMS").map(PathBuf::as_path);
+            check_routes(path(sub, "FILE"), upstreams)
+        }
+        Some(("explain", sub)) => {
+            let (caller, listener) = (word(sub, "CALLER"), word(sub, "LISTENER"));
+            explain_routes(path(sub, "FILE"), path(sub, "UPSTREAMS"), caller, listener)
+        }
+        _ => unreachable!("clap requires a known subcommand"),
+    }
+}
+
+/// Arguments that name a flow.
+fn flow() -> [Arg; 2] {
+    [
+        text("CALLER", "ip:port of the caller"),
+        text("LISTENER", "ip:port that the caller sends to"),
+    ]
+}
+
+fn word<'a>(matches: &'a ArgMatches, name: &str) -> &'a str {
+    matches.get_one::<String>(name).map_or("", String::as_str)
+}
+
 fn text(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name).required(true).help(help)
 }
--- a/crates/plantainquayctl/src/lib.rs
+++ b/crates/plantainquayctl/src/lib.rs
@@ -11,6 +11,7 @@
 mod load;
 mod promote;
 mod report;
+mod routes;
 mod status;
 
 pub use check::check;
@@ -21,4 +22,5 @@
 pub use load::{UsageError, load_document};
 pub use promote::promote;
 pub use report::{Answer, OutputFormat, Report};
+pub use routes::{check_routes, explain_routes};
 pub use status::{status, table};
--- a/crates/plantainquayctl/src/report.rs
+++ b/crates/plantainquayctl/src/report.rs
@@ -1,6 +1,7 @@
 //! What a command answers.
 
-use serde_json::Value;
+use plantainquay_schema::Faults;
+use serde_json::{Value, json};
 
 /// Whether the answer to the operator's question is yes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +34,18 @@
 }
 
 impl Report {
+    /// The answer to a check that has found faults.
+    pub(crate) fn of_faults(faults: &[&Faults]) -> Self {
+        let text: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        let listed = faults.iter().flat_map(|faults| faults.iter());
+        let listed = listed.map(|f| json!({ "path": f.path, "reason": f.reason }));
+        Self {
+            answer: Answer::No,
+            text: text.join("\n"),
+            json: json!({ "good": false, "faults": listed.collect::<Vec<_>>() }),
+        }
+    }
+
     /// The report in one form.
     #[must_use]
     pub fn render(&self, format: OutputFormat) -> String {
--- /dev/null
+++ b/crates/plantainquayctl/src/routes.rs
@@ -0,0 +1,83 @@
+//! `routes check` and `routes explain`: routes and upstreams in files of the platform.
+
+use std::path::Path;
+
+use plantainquay_core::FiveTuple;
+use plantainquay_platform::{parse_routes, parse_upstreams};
+use plantainquay_schema::{Changes, Faults, RouteDocument, UpstreamEntry};
+use serde_json::json;
+
+use crate::load::{UsageError, address, read};
+use crate::{Answer, Report, explain_flow};
+
+/// Checks routes, and upstreams if they are given, and lists every fault.
+///
+/// # Errors
+///
+/// Fails when a file can't be read.
+pub fn check_routes(routes: &Path, upstreams: Option<&Path>) -> Result<Report, UsageError> {
+    let routes = parse_routes(read(routes)?.as_bytes());
+    let upstreams = load_upstreams(upstreams)?;
+    let faults = [routes.as_ref().err(), upstreams.as_ref().err()];
+    let faults: Vec<&Faults> = faults.into_iter().flatten().collect();
+    Ok(match (&routes, &upstreams) {
+        (Ok(routes), Ok(upstreams)) => good(routes, upstreams),
+        _ => Report::of_faults(&faults),
+    })
+}
+
+/// Says what a daemon that knows these routes and upstreams would do with a flow.
+///
+/// # Errors
+///
+/// Fails when a file can't be read or has faults, or an address is not `ip:port`.
+pub fn explain_routes(
+    routes: &Path,
+    upstreams: &Path,
+    caller: &str,
+    listener: &str,
+) -> Result<Report, UsageError> {
+    let tuple = FiveTuple {
+        source: address(caller)?,
+        destination: address(listener)?,
+    };
+    let faulty = |path: &Path| {
+        let path = path.display().to_string();
+        move |faults| UsageError::Faults(path, faults)
+    };
+    let document = parse_routes(read(routes)?.as_bytes()).map_err(faulty(routes))?;
+    let entries = load_upstreams(Some(upstreams))?.map_err(faulty(upstreams))?;
+    let changes = Changes {
+        revision: entries
+            .iter()
+            .map(|entry| entry.revision)
+            .max()
+            .unwrap_or(0),
+        routes: Some(document),
+        whole: true,
+        upstreams: entries,
+        ..Changes::default()
+    };
+    Ok(explain_flow(changes, tuple))
+}
+
+fn load_upstreams(path: Option<&Path>) -> Result<Result<Vec<UpstreamEntry>, Faults>, UsageError> {
+    path.map_or(Ok(Ok(Vec::new())), |path| {
+        Ok(parse_upstreams(read(path)?.as_bytes()))
+    })
+}
+
+fn good(document: &RouteDocument, upstreams: &[UpstreamEntry]) -> Report {
+    let (generation, routes) = (document.generation, document.routes.len());
+    let upstreams = upstreams.len();
+    Report {
+        answer: Answer::Yes,
+        text: format!("good: generation {generation}, {routes} routes, {upstreams} upstreams"),
+        json: json!({
+            "good": true,
+            "generation": generation.0,
+            "routes": routes,
+            "upstreams": upstreams,
+        }),
+    }
+}
--- a/crates/plantainquayctl/tests/commands.rs
+++ b/crates/plantainquayctl/tests/commands.rs
@@ -72,6 +72,39 @@
     });
 }
 
+#[rstest]
+#[case::good(&["check", "good.json"])]
+#[case::good_with_upstreams(&["check", "good.json", "--upstreams", "upstreams.json"])]
+#[case::bad(&["check", "bad.json", "--upstreams", "bad_upstreams.json"])]
+#[case::bad_json(&["check", "bad.json", "--output", "json"])]
+#[case::no_json(&["check", "README.md"])]
+#[case::explained(
+    &["explain", "good.json", "100.64.0.7:1036", "198.18.0.1:8443", "--upstreams", "upstreams.json"]
+)]
+#[case::unrouted(
+    &["explain", "good.json", "100.64.0.7:1036", "198.18.0.1:9", "--upstreams", "upstreams.json"]
+)]
+#[case::faulty(
+    &["explain", "bad.json", "100.64.0.7:1036", "198.18.0.1:9", "--upstreams", "upstreams.json"]
+)]
+fn routes_of_the_platform_are_checked_and_explained(
+    #[context] cx: Context,
+    #[case] words: &[&str],
+) {
+    let folder = format!("{}/tests/routes/", env!("CARGO_MANIFEST_DIR"));
+    let full: Vec<String> = std::iter::once("routes".to_owned())
+        .chain(words.iter().map(|word| match word.split_once('.') {
+            Some((_, "json" | "md")) => format!("{folder}{word}"),
+            _ => (*word).to_owned(),
+        }))
+        .collect();
+    let full: Vec<&str> = full.iter().map(String::as_str).collect();
+    let name = cx.description.expect("each case has a name");
+    insta::with_settings!({ omit_expression => true, prepend_module_to_snapshot => false }, {
+        insta::assert_snapshot!(format!("routes_{name}"), answer(&full).replace(&folder, ""));
+    });
+}
+
 #[test]
 fn wrong_use_is_told_apart_from_no() {
     let missing = answer(&["check", "/nonexistent/document.yaml"]);
--- a/crates/plantainquayd/src/daemon.rs
+++ b/crates/plantainquayd/src/daemon.rs
@@ -98,6 +98,7 @@
 
 pub(crate) fn init_log(level: &str) -> Result<(), DaemonError> {
     let level = match level {
+        "off" => LevelFilter::Off,
         "error" => LevelFilter::Error,
         "warn" => LevelFilter::Warn,
         "debug" => LevelFilter::Debug,
--- a/crates/plantainquayd/src/relay.rs
+++ b/crates/plantainquayd/src/relay.rs
@@ -54,7 +54,7 @@
 /// Fails when the settings are faulty, a socket can't be bound or a thread can't start.
 pub fn run_relay(adapter: RelayAdapter) -> Result<(), DaemonError> {
     let settings = load(&adapter.settings_path)?;
-    init_log("info")?;
+    init_log(settings.log_level.as_str())?;
     let clock = Clock::start();
     let fleet = Arc::new(FleetState::new(settings.peer.port(), clock));
     let role = Arc::new(RelayThreads::start(&settings, &adapter, &fleet, clock)?);
@@ -164,12 +164,7 @@
 ) -> Box<dyn Fn() -> bool + Send + Sync> {
     let fleet = Arc::clone(fleet);
     let leaving = Arc::clone(leaving);
-    Box::new(move || {
-        let now = fleet.now();
-        // Once confirmed, what is known serves even while the store is away.
-        let is_current = fleet.age(now).is_some() && fleet.view().generation().0 > 0;
-        is_current && !leaving.load(Ordering::Relaxed)
-    })
+    Box::new(move || fleet.is_ready() && !leaving.load(Ordering::Relaxed))
 }
 
 fn refresh(role: &Arc<RelayThreads>, fleet: &Arc<FleetState>) -> Box<dyn Fn() + Send + Sync> {
--- /dev/null
+++ b/crates/plantainquayd/tests/relay_settings.rs
@@ -0,0 +1,57 @@
+//! What is said of the settings of a daemon of the relay.
+
+use plantainquay_schema::RelaySettings;
+use rstest::{Context, rstest};
+
+const BALANCER: &str = "role: balancer
+instance: front-1
+data_centre: split
+packets: '10.1.0.10:8172'
+health: '10.1.0.10:8167'
+peer_port: 7720
+metrics_port: 9464
+store: '10.200.1.7:8169'
+";
+
+const AGENT: &str = "agent:
+  service: desk
+  upstream: '127.0.0.1:8407'
+  outbound: '127.0.0.1:8173'
+";
+
+#[rstest]
+#[case::balancer("role: balancer", "", "")]
+#[case::agent("role: balancer", "role: agent", AGENT)]
+#[case::agent_without_upstream("role: balancer", "role: agent", "")]
+#[case::unknown_role("role: balancer", "role: reader", "")]
+#[case::unknown_field("", "", "colour: red\n")]
+#[case::unknown_level("", "", "log_level: loud\n")]
+#[case::quiet("", "", "log_level: 'off'\nthreads: 4\nstop_grace_s: 12\n")]
+#[case::nothing(BALANCER, "", "")]
+#[case::bad_addresses(
+    "role: balancer",
+    "role: agent",
+    "agent:\n  service: ''\n  upstream: '8407'\n"
+)]
+#[case::bad_ports("metrics_port: 9464", "metrics_port: 65536", "")]
+fn settings_are_checked(
+    #[context] cx: Context,
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] more: &str,
+) {
+    let to = if to.is_empty() && from != BALANCER {
+        from
+    } else {
+        to
+    };
+    let text = format!("{}{more}", BALANCER.replacen(from, to, 1));
+    let outcome = match RelaySettings::from_yaml(&text) {
+        Ok(settings) => format!("{settings:#?}"),
+        Err(faults) => faults.to_string(),
+    };
+    let name = cx.description.expect("each case has a name");
+    insta::with_settings!({ omit_expression => true, prepend_module_to_snapshot => false }, {
+        insta::assert_snapshot!(format!("relay_{name}"), outcome);
+    });
+}
