--- a/crates/plantainquay_net/src/relay/agent.rs
+++ b/crates/plantainquay_net/src/relay/agent.rs
@@ -41,7 +41,7 @@
         )?;
         let config = RelayAgentConfig {
             service: agent.service_id,
-            own: settings.peer,
+            own: settings.own,
             shards: SHARDS_PER_THREAD * settings.threads,
         };
         let threads = Arc::new(Self {
--- a/crates/plantainquay_net/src/relay/follow.rs
+++ b/crates/plantainquay_net/src/relay/follow.rs
@@ -99,11 +99,12 @@
     }
 
     fn sources(&self) -> Vec<SocketAddr> {
-        let own = &self.settings;
-        let port = own.changes.port();
+        let settings = &self.settings;
+        let port = settings.changes.port();
         let now = self.state.now();
-        self.state
-            .with(|fleet| sources(fleet, now, own.changes.ip(), &own.data_centre, port).into_vec())
+        self.state.with(|fleet| {
+            sources(fleet, now, settings.own.ip(), &settings.data_centre, port).into_vec()
+        })
     }
 
     /// Hears of changes from the first source that knows what is in force, for as long as it does;
--- a/crates/plantainquay_schema/src/relay_settings.rs
+++ b/crates/plantainquay_schema/src/relay_settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a daemon of the relay.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use crate::settings::{check_address, check_log_level, default_to};
@@ -25,6 +25,8 @@
     pub health: SocketAddr,
     /// UDP socket for messages between processes; the same port on every instance.
     pub peer: SocketAddr,
+    /// Where the other processes send their messages, and how they tell this one from others.
+    pub own: SocketAddr,
     /// TCP port on which processes tell each other of changes; the same on every instance.
     pub changes: SocketAddr,
     /// Where metrics are served.
@@ -92,6 +94,7 @@
     let threads = default_to(wire.threads, DEFAULT_THREADS).min(MAX_THREADS);
     let stop_grace_s = default_to(wire.stop_grace_s, DEFAULT_STOP_GRACE_S);
     let log_level = check_log_level(&wire.log_level, faults);
+    let advertised = check_ip("advertised_ip", &wire.advertised_ip, faults);
     let packets = packets?;
     let at = |port| SocketAddr::new(packets.ip(), port);
     Some(RelaySettings {
@@ -101,6 +104,7 @@
         packets,
         health: health?,
         peer: at(peer_port?),
+        own: SocketAddr::new(advertised?.unwrap_or(packets.ip()), peer_port?),
         changes: at(peer_port? + 1),
         metrics: at(metrics_port?),
         store: store?,
@@ -143,6 +147,17 @@
     })
 }
 
+/// The address in a field that may be empty.
+fn check_ip(path: &str, text: &str, faults: &mut Faults) -> Option<Option<IpAddr>> {
+    if text.is_empty() {
+        return Some(None);
+    }
+    let parsed = text
+        .parse()
+        .map_err(|_e| format!("`{text}` is not an IP address"));
+    faults.take(path, parsed).map(Some)
+}
+
 fn check_port(path: &str, port: u32, faults: &mut Faults) -> Option<u16> {
     // One more port follows the first one.
     let port = u16::try_from(port)
--- a/crates/plantainquayd/tests/relay_settings.rs
+++ b/crates/plantainquayd/tests/relay_settings.rs
@@ -26,7 +26,12 @@
 #[case::unknown_role("role: balancer", "role: reader", "")]
 #[case::unknown_field("", "", "colour: red\n")]
 #[case::unknown_level("", "", "log_level: loud\n")]
-#[case::quiet("", "", "log_level: 'off'\nthreads: 4\nstop_grace_s: 12\n")]
+#[case::quiet(
+    "",
+    "",
+    "log_level: 'off'\nadvertised_ip: 10.1.9.10\nthreads: 4\nstop_grace_s: 12\n"
+)]
+#[case::bad_advertised_ip("", "", "advertised_ip: '10.1.0.10:7720'\n")]
 #[case::nothing(BALANCER, "", "")]
 #[case::bad_addresses(
     "role: balancer",
