Experiments: two policies under the same load and faults

Cause: what a choice is worth could be seen only on the users' bench.

Ruled out: load on real processes, whose figures vary with the machine; a model of the decisions, which would have to follow them.

Change: the choices that are compared are RelayPolicy, a plain struct whose default the daemons use.

--- a/crates/plantainquay_core/src/relay.rs
+++ b/crates/plantainquay_core/src/relay.rs
@@ -20,6 +20,7 @@
 mod note;
 mod packet;
 mod pause;
+mod policy;
 mod sources;
 mod view;
 
@@ -29,5 +30,6 @@
 pub use load::LoadMeter;
 pub use note::{Decision, Note};
 pub use packet::Packet;
+pub use policy::RelayPolicy;
 pub use sources::sources;
 pub use view::{Candidate, CandidateState, RelayView, ServiceCandidates};
--- a/crates/plantainquay_core/src/relay/agent.rs
+++ b/crates/plantainquay_core/src/relay/agent.rs
@@ -17,7 +17,8 @@
 use self::flow::FlowShard;
 use self::pacing::PacingQueue;
 use super::{
-    Action, Actions, Decision, DropReason, LoadMeter, Packet, RelayView, ServiceCandidates,
+    Action, Actions, Decision, DropReason, LoadMeter, Packet, RelayPolicy, RelayView,
+    ServiceCandidates,
 };
 use crate::Timestamp;
 
@@ -30,6 +31,8 @@
     pub own: SocketAddr,
     /// Number of shards of flows.
     pub shards: usize,
+    /// What is done where there is a choice.
+    pub policy: RelayPolicy,
 }
 
 /// An agent beside one upstream.
--- a/crates/plantainquay_core/src/relay/agent/opening.rs
+++ b/crates/plantainquay_core/src/relay/agent/opening.rs
@@ -8,8 +8,6 @@
 use super::{Action, Context};
 use crate::relay::{CandidateState, Decision, Packet};
 
-/// Agents that compare their loads for one new flow.
-const COMPARED: usize = 2;
 /// Agents that an opening packet visits at most, counting those whose upstreams returned it.
 const MAX_VISITS: usize = 5;
 /// Advantage that another agent must have, in thousandths of a request for each slot.
@@ -94,7 +92,7 @@
     let wanted = if opening.best.is_some_and(|best| best.load == UNAVAILABLE) {
         MAX_VISITS
     } else {
-        COMPARED
+        cx.agent.config.policy.compared
     };
     if compared >= wanted {
         return None;
--- a/crates/plantainquay_core/src/relay/agent/pacing.rs
+++ b/crates/plantainquay_core/src/relay/agent/pacing.rs
@@ -15,8 +15,6 @@
 use crate::Timestamp;
 use crate::relay::Packet;
 
-/// Requests that the upstream gets for each of its slots: one that runs and one that is next.
-const REQUESTS_PER_SLOT: u32 = 2;
 /// Requests that wait at most; more go to the upstream, which refuses what it can't take.
 const MAX_REQUESTS: usize = 64;
 /// Packets of one request that wait at most.
@@ -134,5 +132,6 @@
 fn limit(cx: &Context<'_>) -> u32 {
     let own = cx.candidates().and_then(|c| c.find(cx.own()));
     // Nothing waits before the upstream's slots are known.
-    own.map_or(u32::MAX, |own| own.slots * REQUESTS_PER_SLOT)
+    let per_slot = cx.agent.config.policy.requests_per_slot;
+    own.map_or(u32::MAX, |own| own.slots.saturating_mul(per_slot))
 }
--- a/crates/plantainquay_core/src/relay/balancer.rs
+++ b/crates/plantainquay_core/src/relay/balancer.rs
@@ -13,10 +13,10 @@
 use plantainquay_schema::{FlowId, RelayBody, RelayMessage};
 
 use self::cache::CacheShard;
-use self::event::{Context, OPENING_RETRY};
+use self::event::Context;
 use self::suspects::Suspects;
 use super::pause::PauseMeter;
-use super::{Action, Actions, DropReason, Packet, RelayView};
+use super::{Action, Actions, DropReason, Packet, RelayPolicy, RelayView};
 use crate::Timestamp;
 
 /// Fixed facts about a balancer.
@@ -26,6 +26,8 @@
     pub own: SocketAddr,
     /// Number of shards of flows.
     pub shards: usize,
+    /// What is done where there is a choice.
+    pub policy: RelayPolicy,
 }
 
 /// A balancer.
@@ -132,7 +134,7 @@
             let mut shard = shard.lock();
             while let Some((flow, cached)) = shard.next_due(now) {
                 if cx.retry_opening(flow, cached) {
-                    shard.due.push(now + OPENING_RETRY, flow);
+                    shard.due.push(now + self.config.policy.opening_retry, flow);
                 }
             }
         }
--- a/crates/plantainquay_core/src/relay/balancer/event.rs
+++ b/crates/plantainquay_core/src/relay/balancer/event.rs
@@ -19,11 +19,6 @@
     ResetReason,
 };
 
-/// Time after which an opening packet without an answer is sent to another agent.
-///
-/// Several times the way to an agent that is not congested and back, and well before the caller's
-/// own copy.
-pub(super) const OPENING_RETRY: Duration = Duration::from_millis(60);
 /// Time after which a caller that got no answer may have sent a copy through another balancer.
 const FIRST_COPY: Duration = Duration::from_millis(150);
 /// Agents that one opening packet is sent to before the caller's own copy.
@@ -92,7 +87,8 @@
         };
         let cached = Cached::new(self.now, packet.tuple, service, agent).with_pending(pending);
         shard.insert(flow, cached);
-        shard.due.push(self.now + OPENING_RETRY, flow);
+        let retry_at = self.now + self.balancer.config.policy.opening_retry;
+        shard.due.push(retry_at, flow);
         self.count(|c| c.openings += 1);
         let copies = u64::from(packet.ack);
         self.note(packet.tuple, Decision::OpeningSent, agent, Some(copies));
--- a/crates/plantainquay_core/tests/relay/opening.rs
+++ b/crates/plantainquay_core/tests/relay/opening.rs
@@ -8,7 +8,7 @@
 use crate::support::{LISTENER_IP, PEER_PORT, message, process, route, upstream};
 use bytes::Bytes;
 use plantainquay_core::relay::{
-    Action, Actions, Packet, RelayBalancer, RelayBalancerConfig, RelayView,
+    Action, Actions, Packet, RelayBalancer, RelayBalancerConfig, RelayPolicy, RelayView,
 };
 use plantainquay_core::{FiveTuple, Fleet, Timestamp};
 use plantainquay_schema::{Changes, Generation, RelayBody, RouteDocument};
@@ -35,6 +35,7 @@
     let balancer = RelayBalancer::new(RelayBalancerConfig {
         own: process(200),
         shards: 1,
+        policy: RelayPolicy::default(),
     });
     balancer.install(Arc::new(view));
     balancer
--- a/crates/plantainquay_core/tests/relay/support.rs
+++ b/crates/plantainquay_core/tests/relay/support.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use plantainquay_core::FiveTuple;
-use plantainquay_core::relay::{Packet, RelayAgent, RelayAgentConfig};
+use plantainquay_core::relay::{Packet, RelayAgent, RelayAgentConfig, RelayPolicy};
 use plantainquay_schema::{
     EstablishedPacket, Incarnation, RelayBody, RelayMessage, Route, ServiceId, UpstreamEntry,
     WeightedService,
@@ -45,6 +45,7 @@
         service: ServiceId::of(SERVICE),
         own: process(1),
         shards: 1,
+        policy: RelayPolicy::default(),
     })
 }
 
--- a/crates/plantainquay_net/src/relay/agent.rs
+++ b/crates/plantainquay_net/src/relay/agent.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use bytes::{Bytes, BytesMut};
-use plantainquay_core::relay::{RelayAgent, RelayAgentConfig};
+use plantainquay_core::relay::{RelayAgent, RelayAgentConfig, RelayPolicy};
 use plantainquay_schema::{RelayAgentSettings, RelaySettings};
 
 use super::carrier::{SHARDS_PER_THREAD, spawn, take_datagrams};
@@ -43,6 +43,7 @@
             service: agent.service_id,
             own: settings.own,
             shards: SHARDS_PER_THREAD * settings.threads,
+            policy: RelayPolicy::default(),
         };
         let threads = Arc::new(Self {
             agent: RelayAgent::new(config),
--- a/crates/plantainquay_net/src/relay/balancer.rs
+++ b/crates/plantainquay_net/src/relay/balancer.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use plantainquay_core::Timestamp;
-use plantainquay_core::relay::{RelayBalancer, RelayBalancerConfig};
+use plantainquay_core::relay::{RelayBalancer, RelayBalancerConfig, RelayPolicy};
 use plantainquay_schema::RelaySettings;
 
 use super::carrier::{SHARDS_PER_THREAD, spawn, take_datagrams};
@@ -39,6 +39,7 @@
         let config = RelayBalancerConfig {
             own: settings.own,
             shards: SHARDS_PER_THREAD * settings.threads,
+            policy: RelayPolicy::default(),
         };
         let threads = Arc::new(Self {
             balancer: RelayBalancer::new(config),
--- a/crates/plantainquay_schema/src/relay_settings.rs
+++ b/crates/plantainquay_schema/src/relay_settings.rs
@@ -94,8 +94,9 @@
     let threads = default_to(wire.threads, DEFAULT_THREADS).min(MAX_THREADS);
     let stop_grace_s = default_to(wire.stop_grace_s, DEFAULT_STOP_GRACE_S);
     let log_level = check_log_level(&wire.log_level, faults);
-    let advertised = check_ip("advertised_ip", &wire.advertised_ip, faults);
     let packets = packets?;
+    let advertised = &wire.advertised_ip;
+    let advertised = check_ip("advertised_ip", advertised, packets.ip(), faults);
     let at = |port| SocketAddr::new(packets.ip(), port);
     Some(RelaySettings {
         role: role?,
@@ -104,7 +105,7 @@
         packets,
         health: health?,
         peer: at(peer_port?),
-        own: SocketAddr::new(advertised?.unwrap_or(packets.ip()), peer_port?),
+        own: SocketAddr::new(advertised?, peer_port?),
         changes: at(peer_port? + 1),
         metrics: at(metrics_port?),
         store: store?,
@@ -147,15 +148,15 @@
     })
 }
 
-/// The address in a field that may be empty.
-fn check_ip(path: &str, text: &str, faults: &mut Faults) -> Option<Option<IpAddr>> {
+/// The address in a field that may be empty, or `default`.
+fn check_ip(path: &str, text: &str, default: IpAddr, faults: &mut Faults) -> Option<IpAddr> {
     if text.is_empty() {
-        return Some(None);
+        return Some(default);
     }
     let parsed = text
         .parse()
         .map_err(|_e| format!("`{text}` is not an IP address"));
-    faults.take(path, parsed).map(Some)
+    faults.take(path, parsed)
 }
 
 fn check_port(path: &str, port: u32, faults: &mut Faults) -> Option<u16> {
--- a/crates/plantainquay_trace/src/lib.rs
+++ b/crates/plantainquay_trace/src/lib.rs
@@ -37,5 +37,7 @@
 pub use outcome::{Fate, Outcome, Summary};
 pub use parse::ParseError;
 pub use policy::Policy;
-pub use relay::{RelayEvent, RelayParseError, RelaySummary, RelayWorld, parse_relay_trace};
+pub use relay::{
+    RelayEvent, RelayFate, RelayLoad, RelayParseError, RelaySummary, RelayWorld, parse_relay_trace,
+};
 pub use world::World;
--- a/crates/plantainquay_trace/src/relay.rs
+++ b/crates/plantainquay_trace/src/relay.rs
@@ -5,11 +5,13 @@
 //! them, and the log of the world tells what callers and upstreams have seen.
 
 mod codec;
+mod load;
 mod network;
 mod process;
 mod script;
 mod upstream;
 mod world;
 
+pub use load::{RelayFate, RelayLoad};
 pub use script::{RelayEvent, RelayParseError, parse_relay_trace};
 pub use world::{RelaySummary, RelayWorld};
--- /dev/null
+++ b/crates/plantainquay_trace/src/relay/load.rs
@@ -0,0 +1,115 @@
+//! Load on the world: flows that open at a rate, each with one request that takes time.
+
+use std::collections::BTreeMap;
+
+use plantainquay_core::relay::RelayPolicy;
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+
+use super::{RelayEvent, RelayWorld};
+
+/// Interval at which callers repeat a packet, in milliseconds.
+const REPEAT_MS: u64 = 200;
+/// Longest work of a request, as a multiple of the mean.
+const MAX_WORK: f64 = 10.0;
+
+/// Flows that open at a rate.
+#[derive(Clone, Debug)]
+pub struct RelayLoad {
+    /// Number of balancers.
+    pub balancers: u16,
+    /// Number of upstreams, each with two slots and its agent.
+    pub upstreams: u16,
+    /// Flows a second.
+    pub rate: f64,
+    /// For how long flows open, in seconds.
+    pub seconds: u16,
+    /// Mean time that a request takes at its upstream, in milliseconds; times are exponential.
+    pub mean_work_ms: f64,
+    /// Time after which a caller gives its request up, in milliseconds.
+    pub patience_ms: u64,
+}
+
+/// What became of one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayFate {
+    /// It was answered so many milliseconds after its flow was due to open.
+    Answered(u64),
+    /// Its caller was told that the flow has ended.
+    Reset,
+    /// It was given up.
+    GivenUp,
+}
+
+impl RelayLoad {
+    /// Flows that open.
+    #[must_use]
+    pub fn flows(&self) -> usize {
+        let flows = self.rate * f64::from(self.seconds);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "rates are small and positive"
+        )]
+        let flows = flows.max(0.0) as usize;
+        flows
+    }
+
+    /// Plays the load and faults under a policy; the fates are in the order of the flows.
+    ///
+    /// Flows open at times that don't depend on answers, and times are counted from there, so that
+    /// a slow answer hides none that would have followed.
+    #[must_use]
+    pub fn play(
+        &self,
+        policy: RelayPolicy,
+        faults: &[(u64, RelayEvent)],
+        seed: u64,
+    ) -> Vec<RelayFate> {
+        let mut draw = StdRng::seed_from_u64(seed);
+        let mut world = RelayWorld::with_policy(self.balancers, self.upstreams, seed, policy);
+        let mut events = faults.to_vec();
+        let span_ms = f64::from(self.seconds) * 1_000.0;
+        let count = u16::try_from(self.flows()).unwrap_or(u16::MAX);
+        let mut due_ms: Vec<u64> = (0..count)
+            .map(|_| whole(draw.random_range(0.0..span_ms)))
+            .collect();
+        due_ms.sort_unstable();
+        let mut work = BTreeMap::new();
+        for (flow, due) in (0..).zip(&due_ms) {
+            let exponential = -draw.random_range(f64::EPSILON..1.0_f64).ln();
+            let work_ms = self.mean_work_ms * exponential.min(MAX_WORK);
+            work.insert(flow, whole(work_ms).max(1));
+            let mut via = || format!("b{}", draw.random_range(1..=self.balancers));
+            events.push((*due, RelayEvent::Open(flow, via())));
+            let mut after = REPEAT_MS;
+            while after < self.patience_ms {
+                events.push((due + after, RelayEvent::Repeat(flow, via())));
+                events.push((due + after, RelayEvent::Send(flow, via())));
+                after += REPEAT_MS;
+            }
+        }
+        events.sort_by_key(|(at, _)| *at);
+        world.set_work(work);
+        let end_ms = events.last().map_or(0, |(at, _)| at + self.patience_ms);
+        world.replay(&events, end_ms);
+        let fate = |(flow, due): (u16, &u64)| {
+            let after = world.answered_at_ms(flow).map(|at| at.saturating_sub(*due));
+            match after.filter(|after| *after <= self.patience_ms) {
+                Some(after) => RelayFate::Answered(after),
+                None if world.is_reset(flow) => RelayFate::Reset,
+                None => RelayFate::GivenUp,
+            }
+        };
+        (0..).zip(&due_ms).map(fate).collect()
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "times are small and positive"
+)]
+fn whole(ms: f64) -> u64 {
+    ms as u64
+}
--- a/crates/plantainquay_trace/src/relay/process.rs
+++ b/crates/plantainquay_trace/src/relay/process.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use plantainquay_core::relay::{
-    Actions, Packet, RelayAgent, RelayAgentConfig, RelayBalancer, RelayBalancerConfig, RelayView,
+    Actions, Packet, RelayAgent, RelayAgentConfig, RelayBalancer, RelayBalancerConfig, RelayPolicy,
+    RelayView,
 };
 use plantainquay_core::{Fleet, Timestamp};
 use plantainquay_schema::{Changes, Generation, RelayMessage, ServiceId};
@@ -23,6 +24,7 @@
     pub(super) role: Role,
     pub(super) is_paused: bool,
     pub(super) is_down: bool,
+    policy: RelayPolicy,
     fleet: Fleet,
     view: Arc<RelayView>,
 }
@@ -34,14 +36,15 @@
 }
 
 impl Process {
-    pub(super) fn new(name: &str, ip: Ipv4Addr) -> Self {
+    pub(super) fn new(name: &str, ip: Ipv4Addr, policy: RelayPolicy) -> Self {
         let address = SocketAddr::new(ip.into(), PEER_PORT);
         Self {
             name: name.to_owned(),
             address,
-            role: Role::new(name.starts_with('a'), address),
+            role: Role::new(name.starts_with('a'), address, policy),
             is_paused: false,
             is_down: false,
+            policy,
             fleet: Fleet::default(),
             view: Arc::default(),
         }
@@ -49,7 +52,11 @@
 
     /// Loses its memory.
     pub(super) fn restart(&mut self) {
-        self.role = Role::new(matches!(self.role, Role::Agent(_)), self.address);
+        self.role = Role::new(
+            matches!(self.role, Role::Agent(_)),
+            self.address,
+            self.policy,
+        );
         self.fleet = Fleet::default();
         self.view = Arc::default();
         self.is_down = false;
@@ -104,18 +111,20 @@
 }
 
 impl Role {
-    fn new(is_agent: bool, own: SocketAddr) -> Self {
+    fn new(is_agent: bool, own: SocketAddr, policy: RelayPolicy) -> Self {
         const SHARDS: usize = 2;
         if is_agent {
             Self::Agent(RelayAgent::new(RelayAgentConfig {
                 service: ServiceId::of(SERVICE),
                 own,
                 shards: SHARDS,
+                policy,
             }))
         } else {
             Self::Balancer(RelayBalancer::new(RelayBalancerConfig {
                 own,
                 shards: SHARDS,
+                policy,
             }))
         }
     }
--- a/crates/plantainquay_trace/src/relay/upstream.rs
+++ b/crates/plantainquay_trace/src/relay/upstream.rs
@@ -1,6 +1,6 @@
 //! An upstream that returns what it doesn't hold.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::codec::Wire;
 
@@ -12,6 +12,16 @@
     pub(super) life: u16,
     half_open: BTreeSet<u16>,
     open: BTreeSet<u16>,
+    work: Work,
+}
+
+/// Requests of an upstream that takes time for them, one a flow, in the order of arrival.
+#[derive(Debug, Default)]
+struct Work {
+    /// Times at which the slots are free.
+    free_at_ms: Vec<u64>,
+    /// Times at which requests are answered.
+    answered_at_ms: BTreeMap<u16, u64>,
 }
 
 /// What an upstream does with a packet.
@@ -52,6 +62,27 @@
         self.life += 1;
         self.half_open.clear();
         self.open.clear();
+        self.work = Work::default();
+    }
+
+    /// When the request of a flow is answered that arrives now and takes `work_ms`; none for a copy
+    /// of one that is under way.
+    pub(super) fn answer_at(
+        &mut self,
+        now_ms: u64,
+        flow: u16,
+        slots: usize,
+        work_ms: u64,
+    ) -> Option<u64> {
+        let work = &mut self.work;
+        if let Some(answered_at_ms) = work.answered_at_ms.get(&flow) {
+            return (*answered_at_ms <= now_ms).then_some(now_ms);
+        }
+        work.free_at_ms.resize(slots, 0);
+        let slot = work.free_at_ms.iter_mut().min()?;
+        *slot = now_ms.max(*slot) + work_ms;
+        work.answered_at_ms.insert(flow, *slot);
+        Some(*slot)
     }
 
     fn accept(&mut self, flow: u16) -> Reaction {
--- a/crates/plantainquay_trace/src/relay/world.rs
+++ b/crates/plantainquay_trace/src/relay/world.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use plantainquay_core::Timestamp;
-use plantainquay_core::relay::{Action, Actions};
+use plantainquay_core::relay::{Action, Actions, RelayPolicy};
 use plantainquay_schema::{Incarnation, RelayBody, UpstreamEntry};
 
 use super::RelayEvent;
@@ -19,6 +19,8 @@
 use super::process::{Process, Role, SERVICE};
 use super::upstream::{Reaction, Upstream};
 
+/// Requests that an upstream works on at the same time.
+const SLOTS: u8 = 2;
 /// Milliseconds between two ticks of a process.
 const TICK_MS: u64 = 20;
 
@@ -40,6 +42,8 @@
     flows: BTreeMap<u16, Flow>,
     log: String,
     summary: RelaySummary,
+    /// Time that the requests of flows take; without it upstreams answer every packet at once.
+    work_ms: Option<BTreeMap<u16, u64>>,
 }
 
 /// A flow, as its caller sees it.
@@ -56,6 +60,8 @@
     /// Later packets that other upstreams got, and when the first of them did.
     strays: BTreeSet<u16>,
     astray_since_ms: u64,
+    /// When the first answer came.
+    answered_at_ms: Option<u64>,
 }
 
 /// What callers and upstreams have seen.
@@ -79,6 +85,12 @@
     /// A world where every process knows of every upstream.
     #[must_use]
     pub fn new(balancers: u16, upstreams: u16, seed: u64) -> Self {
+        Self::with_policy(balancers, upstreams, seed, RelayPolicy::default())
+    }
+
+    /// A world whose processes follow a policy.
+    #[must_use]
+    pub fn with_policy(balancers: u16, upstreams: u16, seed: u64, policy: RelayPolicy) -> Self {
         let mut world = Self {
             now_ms: 0,
             last_tick_ms: 0,
@@ -91,13 +103,14 @@
             flows: BTreeMap::new(),
             log: String::new(),
             summary: RelaySummary::default(),
+            work_ms: None,
         };
         for number in 1..=balancers {
-            let process = Process::new(&format!("b{number}"), balancer_ip(number));
+            let process = Process::new(&format!("b{number}"), balancer_ip(number), policy);
             world.processes.push(process);
         }
         for number in 1..=upstreams {
-            let process = Process::new(&format!("a{number}"), agent_ip(number));
+            let process = Process::new(&format!("a{number}"), agent_ip(number), policy);
             world.processes.push(process);
             world.upstreams.insert(number, Upstream::default());
             world.listed.insert(number, entry(number, 1));
@@ -192,6 +205,7 @@
         let index = match &arrival {
             Arrival::FromCaller { balancer, .. } => Some(*balancer),
             Arrival::Message { to, .. } => self.index_of(*to),
+            Arrival::FromUpstream { packet, .. } if self.is_of_past_life(packet) => None,
             Arrival::FromUpstream { agent, .. } => Some(*agent),
             Arrival::AtCaller { packet } => return self.at_caller(packet),
         };
@@ -208,6 +222,13 @@
         self.carry_out(index, actions);
     }
 
+    /// Whether an upstream has lost its work since it began a packet.
+    fn is_of_past_life(&self, packet: &Bytes) -> bool {
+        let answer = Wire::decode(packet).filter(|wire| wire.kind == Kind::Answer);
+        let upstream = answer.and_then(|wire| Some((wire, self.upstreams.get(&wire.upstream)?)));
+        upstream.is_some_and(|(wire, upstream)| wire.life != upstream.life)
+    }
+
     fn decide(&self, index: usize, arrival: Arrival) -> Actions {
         let now = self.now();
         let process = &self.processes[index];
@@ -282,7 +303,10 @@
         };
         let (packet, returned) = match reaction {
             Reaction::Accept => (reply(Kind::Accept).encode(), false),
-            Reaction::Answer => (reply(Kind::Answer).encode(), false),
+            Reaction::Answer => {
+                let packet = reply(Kind::Answer).encode();
+                return self.answer(agent, number, wire.flow, packet);
+            }
             Reaction::Return => (packet, true),
             Reaction::Silence => return,
         };
@@ -294,6 +318,27 @@
         self.network.put(self.now_ms, arrival);
     }
 
+    /// Lets an upstream answer, after its work if it has any.
+    fn answer(&mut self, agent: usize, number: u16, flow: u16, packet: Bytes) {
+        let work_ms = self.work_ms.as_ref().map(|work| work.get(&flow).copied());
+        let upstream = self.upstreams.get_mut(&number);
+        let at_ms = match (work_ms, upstream) {
+            (Some(work_ms), Some(upstream)) => {
+                let work_ms = work_ms.unwrap_or(0);
+                upstream.answer_at(self.now_ms, flow, usize::from(SLOTS), work_ms)
+            }
+            _ => Some(self.now_ms),
+        };
+        let arrival = Arrival::FromUpstream {
+            agent,
+            packet,
+            returned: false,
+        };
+        if let Some(at_ms) = at_ms {
+            self.network.put(at_ms, arrival);
+        }
+    }
+
     fn count_data(&mut self, wire: Wire, number: u16) {
         let is_astray = self.is_astray(wire.flow);
         let Some(flow) = self.flows.get_mut(&wire.flow) else {
@@ -356,7 +401,7 @@
         service: SERVICE.into(),
         ip,
         data_centre: "split".into(),
-        slots: 2,
+        slots: SLOTS.into(),
         draining: false,
         incarnation: Incarnation(1),
         warm_up: Duration::ZERO,
--- a/crates/plantainquay_trace/src/relay/world/callers.rs
+++ b/crates/plantainquay_trace/src/relay/world/callers.rs
@@ -1,5 +1,7 @@
 //! What callers send and see.
 
+use std::collections::BTreeMap;
+
 use bytes::Bytes;
 
 use super::RelayWorld;
@@ -21,9 +23,13 @@
                 self.summary.opened += 1;
                 let line = format!("f{} opened at u{}", wire.flow, wire.upstream);
                 self.write(&line);
+                if self.work_ms.is_some() {
+                    self.send_data_via_any(wire.flow);
+                }
             }
             Kind::Answer if flow.chosen == Some(wire.upstream) => {
                 flow.answered += 1;
+                flow.answered_at_ms.get_or_insert(self.now_ms);
                 self.summary.answered += 1;
                 let line = format!("f{} answered by u{}", wire.flow, wire.upstream);
                 self.write(&line);
@@ -43,6 +49,21 @@
         })
     }
 
+    /// When the first answer on a flow came.
+    pub(in crate::relay) fn answered_at_ms(&self, flow: u16) -> Option<u64> {
+        self.flows.get(&flow)?.answered_at_ms
+    }
+
+    /// Whether a caller was told that its flow has ended.
+    pub(in crate::relay) fn is_reset(&self, flow: u16) -> bool {
+        self.flows.get(&flow).is_some_and(|flow| flow.is_reset)
+    }
+
+    /// Lets upstreams take time for the requests of flows.
+    pub(in crate::relay) fn set_work(&mut self, work_ms: BTreeMap<u16, u64>) {
+        self.work_ms = Some(work_ms);
+    }
+
     /// Callers repeat an opening packet only until an upstream has answered it.
     pub(super) fn repeat_opening(&mut self, flow: u16, via: &str) {
         if self
@@ -58,12 +79,20 @@
         let Some(state) = self.flows.get_mut(&flow) else {
             return;
         };
-        if state.chosen.is_some() && !state.is_reset {
+        let is_done = self.work_ms.is_some() && state.answered > 0;
+        if state.chosen.is_some() && !state.is_reset && !is_done {
             state.sent += 1;
             self.send_from_caller(flow, Kind::Data, via);
         }
     }
 
+    /// Sends the request of a flow through the balancer that routers pick for it.
+    fn send_data_via_any(&mut self, flow: u16) {
+        let balancer = usize::from(flow) % self.balancers;
+        let name = self.processes[balancer].name.clone();
+        self.send_data(flow, &name);
+    }
+
     pub(super) fn send_from_caller(&mut self, flow: u16, kind: Kind, via: &str) {
         let Some(balancer) = self.processes.iter().position(|p| p.name == via) else {
             return;
--- /dev/null
+++ b/crates/plantainquay_trace/tests/relay_load.rs
@@ -0,0 +1,101 @@
+//! What policies are worth under load.
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use plantainquay_core::relay::RelayPolicy;
+use plantainquay_trace::{RelayEvent, RelayFate, RelayLoad};
+use rstest::rstest;
+
+const TARGET_MS: u64 = 100;
+const SEED: u64 = 1;
+
+fn load(rate: f64) -> RelayLoad {
+    RelayLoad {
+        balancers: 2,
+        upstreams: 4,
+        rate,
+        seconds: 4,
+        mean_work_ms: 25.0,
+        patience_ms: 600,
+    }
+}
+
+fn in_target(fates: &[RelayFate]) -> usize {
+    let early = |fate: &&RelayFate| matches!(fate, RelayFate::Answered(ms) if *ms <= TARGET_MS);
+    fates.iter().filter(early).count()
+}
+
+fn answered(fates: &[RelayFate]) -> usize {
+    let answered = |fate: &&RelayFate| matches!(fate, RelayFate::Answered(_));
+    fates.iter().filter(answered).count()
+}
+
+fn first_one() -> RelayPolicy {
+    RelayPolicy {
+        compared: 1,
+        ..RelayPolicy::default()
+    }
+}
+
+fn at_the_upstream() -> RelayPolicy {
+    RelayPolicy {
+        requests_per_slot: u32::MAX,
+        ..RelayPolicy::default()
+    }
+}
+
+fn waits() -> RelayPolicy {
+    RelayPolicy {
+        opening_retry: Duration::from_hours(1),
+        ..RelayPolicy::default()
+    }
+}
+
+/// Four upstreams with two slots can do 320 requests a second.
+#[rstest]
+#[case::comparison(280.0, &[], first_one())]
+#[case::pacing(420.0, &[], at_the_upstream())]
+#[case::silence(
+    150.0,
+    &[(500, RelayEvent::Pause("a2".to_owned())), (2_500, RelayEvent::Resume("a2".to_owned()))],
+    waits()
+)]
+fn product_answers_more_in_time(
+    #[case] rate: f64,
+    #[case] faults: &[(u64, RelayEvent)],
+    #[case] other: RelayPolicy,
+) {
+    let product = load(rate).play(RelayPolicy::default(), faults, SEED);
+    let other = load(rate).play(other, faults, SEED);
+    assert_eq!(product.len(), other.len());
+    let (product, other) = (in_target(&product), in_target(&other));
+    assert!(product > other, "{product} in time, {other} without");
+}
+
+/// A crash loses requests, and the rest goes on.
+#[test]
+fn load_has_its_recorded_outcome() {
+    let crash = [
+        (1_000, RelayEvent::Crash(1)),
+        (2_000, RelayEvent::Restart("a3".to_owned())),
+        (2_500, RelayEvent::Kill("b2".to_owned())),
+        (3_000, RelayEvent::Restart("b2".to_owned())),
+    ];
+    let mut text = String::new();
+    for rate in [50.0, 200.0, 400.0] {
+        let fates = load(rate).play(RelayPolicy::default(), &crash, SEED);
+        let reset = fates.iter().filter(|f| **f == RelayFate::Reset).count();
+        // Writing to a string never fails.
+        let _infallible = writeln!(
+            text,
+            "rate={rate} offered={} answered={} in_target={} reset={reset}",
+            fates.len(),
+            answered(&fates),
+            in_target(&fates)
+        );
+    }
+    insta::with_settings!({ omit_expression => true, prepend_module_to_snapshot => false }, {
+        insta::assert_snapshot!("relay_load", text);
+    });
+}
--- /dev/null
+++ b/examples/experiment/main.rs
@@ -0,0 +1,105 @@
+//! Plays a named experiment: two policies of the relay under the same load and faults.
+//!
+//! `cargo run --release --example experiment -- NAME [--rates 200,400] [--seeds 5] [--out FOLDER]`.
+//! Prints a table, and writes `NAME.csv` and `NAME.svg` into the folder. `--list` names the
+//! experiments. The decisions are the product's; time, messages and upstreams are in memory, so
+//! that the same seeds give the same figures.
+
+mod experiments;
+mod report;
+
+use std::path::PathBuf;
+
+use anyhow::{Context as _, Result, ensure};
+use clap::{Arg, ArgAction, Command, value_parser};
+use experiments::{Experiment, all};
+use plantainquay_trace::RelayLoad;
+use report::{Point, Report};
+
+/// Flows that the world can tell apart.
+const MAX_FLOWS: usize = 50_000;
+
+fn main() -> Result<()> {
+    let matches = command().get_matches();
+    let experiments = all();
+    if matches.get_flag("list") {
+        for experiment in &experiments {
+            println!("{:<12} {}", experiment.name, experiment.about);
+        }
+        return Ok(());
+    }
+    let name: &String = matches
+        .get_one("NAME")
+        .context("name an experiment, or ask for the `--list`")?;
+    let experiment = experiments.iter().find(|e| e.name == name.as_str());
+    let experiment = experiment.with_context(|| format!("no experiment is called `{name}`"))?;
+    let rates: Vec<f64> = match matches.get_many("rates") {
+        Some(rates) => rates.copied().collect(),
+        None => experiment.rates.to_vec(),
+    };
+    let seeds: u64 = *matches
+        .get_one("seeds")
+        .context("the option has a default")?;
+    let report = play(experiment, &rates, seeds)?;
+    print!("{report}");
+    let out: &PathBuf = matches.get_one("out").context("the option has a default")?;
+    report.write(out, experiment.name)
+}
+
+fn command() -> Command {
+    Command::new("experiment")
+        .about("Plays two policies of the relay under the same load and faults")
+        .arg(Arg::new("NAME").help("The experiment"))
+        .arg(
+            Arg::new("list")
+                .long("list")
+                .action(ArgAction::SetTrue)
+                .help("Name the experiments"),
+        )
+        .arg(
+            Arg::new("rates")
+                .long("rates")
+                .value_delimiter(',')
+                .value_parser(value_parser!(f64))
+                .help("Flows a second; the experiment's own where left out"),
+        )
+        .arg(
+            Arg::new("seeds")
+                .long("seeds")
+                .default_value("5")
+                .value_parser(value_parser!(u64).range(1..))
+                .help("Runs of each rate and policy"),
+        )
+        .arg(
+            Arg::new("out")
+                .long("out")
+                .value_name("FOLDER")
+                .default_value("target/experiment")
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+fn play(experiment: &Experiment, rates: &[f64], seeds: u64) -> Result<Report> {
+    let mut report = Report::new(experiment);
+    for rate in rates {
+        let load = RelayLoad {
+            rate: *rate,
+            ..experiment.load.clone()
+        };
+        ensure!(
+            rate.is_finite() && *rate > 0.0 && load.flows() <= MAX_FLOWS,
+            "rate {rate}: must be above 0 and make at most {MAX_FLOWS} flows"
+        );
+        for policy in &experiment.policies {
+            let mut point = Point::new(*rate, policy.name)?;
+            for seed in 1..=seeds {
+                let faults = (experiment.faults)(&load);
+                for fate in load.play(policy.policy, &faults, seed) {
+                    point.add(fate, experiment.target_ms)?;
+                }
+            }
+            report.add(point);
+        }
+    }
+    Ok(report)
+}
