--- a/examples/slopes/main.rs
+++ b/examples/slopes/main.rs
@@ -5,6 +5,7 @@
 
 mod documents;
 mod measure;
+mod relay;
 mod report;
 
 use std::alloc::System;
@@ -21,6 +22,8 @@
 
 /// Parts of the planned 46,000 services.
 const SERVICES: [u32; 4] = [5_750, 11_500, 23_000, 46_000];
+/// Upstreams of one service.
+const SERVICE_UPSTREAMS: [u32; 4] = [2, 10, 100, 1_000];
 /// Flows held by one agent.
 const FLOWS: [u32; 4] = [1_000, 10_000, 100_000, 500_000];
 /// TCP endpoints held by one agent.
@@ -38,6 +41,12 @@
     for services in SERVICES {
         measure::routes(services, &mut report)?;
     }
+    for addresses in SERVICES {
+        relay::knowledge(addresses, &mut report);
+    }
+    for upstreams in SERVICE_UPSTREAMS {
+        relay::ranking(upstreams, &mut report);
+    }
     for flows in FLOWS {
         measure::flows(flows, &mut report)?;
     }
--- a/examples/slopes/measure.rs
+++ b/examples/slopes/measure.rs
@@ -213,14 +213,14 @@
 }
 
 /// Bytes that this process holds on the heap.
-fn held_bytes() -> u64 {
+pub(crate) fn held_bytes() -> u64 {
     let stats = ALLOCATOR.stats();
     (stats
         .bytes_allocated
         .saturating_sub(stats.bytes_deallocated)) as u64
 }
 
-fn millis(time: Duration) -> f64 {
+pub(crate) fn millis(time: Duration) -> f64 {
     time.as_secs_f64() * 1e3
 }
 
@@ -229,6 +229,6 @@
 }
 
 #[expect(clippy::cast_precision_loss, reason = "sizes stay far below 2^52")]
-fn megabytes(bytes: u64) -> f64 {
+pub(crate) fn megabytes(bytes: u64) -> f64 {
     bytes as f64 / 1e6
 }
--- /dev/null
+++ b/examples/slopes/relay.rs
@@ -0,0 +1,149 @@
+//! What a process of the relay spends on knowing routes and upstreams.
+
+use std::hint::black_box;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::{Duration, Instant};
+
+use plantainquay_core::relay::{RelayView, sources};
+use plantainquay_core::{Fleet, Timestamp};
+use plantainquay_schema::{
+    Changes, FiveTuple, Generation, Incarnation, Name, Route, RouteDocument, ServiceId,
+    UpstreamEntry, WeightedService, wire,
+};
+use prost::Message as _;
+
+use crate::measure::{held_bytes, megabytes, millis};
+use crate::report::Report;
+
+const PEER_PORT: u16 = 7_720;
+/// Planned upstreams for each 1,000 planned addresses.
+const UPSTREAMS_PER_1000: u32 = 1_739;
+const CHANGES: u64 = 20;
+const DECISIONS: u16 = 10_000;
+
+/// A process that knows of so many addresses, and of the planned upstreams behind them.
+pub(crate) fn knowledge(addresses: u32, report: &mut Report) {
+    let upstreams = addresses * UPSTREAMS_PER_1000 / 1_000;
+    let changes = whole(addresses, upstreams);
+    let body = wire::fleet::Changes::from(&changes).encode_to_vec();
+    report.add(
+        "relay, whole state",
+        addresses,
+        "MB",
+        megabytes(body.len() as u64),
+    );
+    let empty = held_bytes();
+    let mut fleet = Fleet::default();
+    let timed = |report: &mut Report, what, work: &mut dyn FnMut()| {
+        let start = Instant::now();
+        work();
+        report.add(what, addresses, "ms", millis(start.elapsed()));
+    };
+    let again = changes.clone();
+    timed(report, "relay, first read", &mut || {
+        fleet.apply(Timestamp(0), changes.clone());
+    });
+    drop(changes);
+    timed(report, "relay, read anew", &mut || {
+        fleet.apply(Timestamp(1), again.clone());
+    });
+    drop(again);
+    let mut view = RelayView::default();
+    timed(report, "relay, view built", &mut || {
+        view = RelayView::build(&fleet, Timestamp(2), PEER_PORT, &RelayView::default());
+    });
+    let held = held_bytes().saturating_sub(empty);
+    report.add("relay, memory", addresses, "MB", megabytes(held));
+    let mut apply = Duration::ZERO;
+    let mut answer = Duration::ZERO;
+    let mut build = Duration::ZERO;
+    let mut rank = Duration::ZERO;
+    for change in 1..=CHANGES {
+        let now = Timestamp::from_millis(10 * change);
+        let known = fleet.revision();
+        let generation = fleet.routes().generation;
+        let entry = entry(upstreams / 2, upstreams, known + 1);
+        let news = Changes {
+            age: Some(Duration::ZERO),
+            revision: known + 1,
+            upstreams: vec![entry],
+            ..Changes::default()
+        };
+        let start = Instant::now();
+        fleet.apply(now, news);
+        apply += start.elapsed();
+        let start = Instant::now();
+        black_box(fleet.is_newer_than(generation, known));
+        black_box(fleet.changes_since(now, generation, known));
+        answer += start.elapsed();
+        let start = Instant::now();
+        view = RelayView::build(&fleet, now, PEER_PORT, &view);
+        build += start.elapsed();
+        let start = Instant::now();
+        let own = IpAddr::V4(Ipv4Addr::new(10, 200, 0, 1));
+        black_box(sources(&fleet, now, own, &Name::from("split"), PEER_PORT));
+        rank += start.elapsed();
+    }
+    let each = |total: Duration| millis(total) / 20.0;
+    report.add("relay, one change applied", addresses, "ms", each(apply));
+    report.add("relay, one asker answered", addresses, "ms", each(answer));
+    report.add("relay, view of one change", addresses, "ms", each(build));
+    report.add("relay, sources ranked", addresses, "ms", each(rank));
+}
+
+/// Decisions for the opening packets of a service with so many upstreams.
+pub(crate) fn ranking(upstreams: u32, report: &mut Report) {
+    let mut fleet = Fleet::default();
+    fleet.apply(Timestamp(0), whole(1, upstreams));
+    let view = RelayView::build(&fleet, Timestamp(0), PEER_PORT, &RelayView::default());
+    let Some(service) = view.service(ServiceId::of("service-0")) else {
+        return;
+    };
+    let start = Instant::now();
+    for port in 0..DECISIONS {
+        let tuple = FiveTuple {
+            source: SocketAddr::new(Ipv4Addr::new(198, 51, 100, 1).into(), port),
+            destination: SocketAddr::new(Ipv4Addr::new(10, 0, 0, 0).into(), 80),
+        };
+        black_box(service.entry(tuple.flow_id(), |_| true));
+    }
+    let each = start.elapsed().as_secs_f64() * 1e9 / f64::from(DECISIONS);
+    report.add("relay, entry of a flow", upstreams, "ns", each);
+}
+
+fn whole(addresses: u32, upstreams: u32) -> Changes {
+    let routes = (0..addresses).map(|index| Route {
+        listener: SocketAddrV4::new(Ipv4Addr::from_bits(0x0a00_0000 + index), 80),
+        services: [WeightedService::new(&format!("service-{index}"), 1)]
+            .into_iter()
+            .collect(),
+        idempotent: true,
+        timeout: Duration::from_secs(2),
+        priority: 1,
+    });
+    Changes {
+        age: Some(Duration::ZERO),
+        revision: 1,
+        routes: Some(RouteDocument {
+            generation: Generation(1),
+            routes: routes.collect(),
+        }),
+        whole: true,
+        upstreams: (0..upstreams).map(|i| entry(i, addresses, 1)).collect(),
+        ..Changes::default()
+    }
+}
+
+fn entry(index: u32, addresses: u32, revision: u64) -> UpstreamEntry {
+    UpstreamEntry {
+        id: format!("upstream-{index}").as_str().into(),
+        service: format!("service-{}", index % addresses).as_str().into(),
+        ip: Ipv4Addr::from_bits(0x0b00_0000 + index),
+        data_centre: "split".into(),
+        slots: 2,
+        draining: false,
+        incarnation: Incarnation(1),
+        warm_up: Duration::ZERO,
+        revision,
+    }
+}
