Let views, answers and rankings cost what has changed

Cause: docs/CAPACITY.md asks for the planned size, and the slopes showed a whole read that compares each known upstream with each named one, views that were built anew from all upstreams, answers that looked at every entry for every asker, and sources ranked after each answer.

Ruled out: a view for each service behind its own lock, since a packet would take two; caching answers, which differ in their age.

Change: Fleet keeps an index of entries by revision and by service, and of services by their last change; a view shares the services that have not changed; sources are ranked when upstreams come or go.

--- a/crates/plantainquay_core/src/fleet.rs
+++ b/crates/plantainquay_core/src/fleet.rs
@@ -4,12 +4,15 @@
 //! [`Fleet::apply`], which takes each entry by its revision and never goes back, whatever the
 //! order in which changes arrive.
 
-use std::collections::{BTreeMap, HashMap};
+mod index;
+
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use plantainquay_schema::{Changes, Departure, Generation, Name, RouteDocument, UpstreamEntry};
 
+use self::index::Index;
 use crate::Timestamp;
 
 /// Time for which a departure is remembered, for askers and for flows that were open there.
@@ -27,6 +30,7 @@
     revision: u64,
     upstreams: BTreeMap<Name, Known>,
     departed: HashMap<Name, Departed>,
+    index: Index,
     /// Departures up to this revision are not remembered.
     forgotten: u64,
     /// Moment at which the state was last known to be the store's.
@@ -44,6 +48,17 @@
     pub warm_at: Timestamp,
 }
 
+/// How sure it is that an upstream is still there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// The store names it.
+    Named,
+    /// The store no longer names it, maybe by mistake; it counts as if it did.
+    Doubted,
+    /// It has left, but may still hold flows.
+    Former,
+}
+
 #[derive(Clone, Debug)]
 struct Departed {
     last: Option<Known>,
@@ -108,15 +123,19 @@
     pub fn changes_since(&self, now: Timestamp, generation: Generation, revision: u64) -> Changes {
         let whole = revision < self.forgotten;
         let routes = (self.routes.generation > generation).then(|| (*self.routes).clone());
-        let newer = |known: &&Known| whole || known.entry.revision > revision;
-        let upstreams = self.upstreams.values().filter(newer);
+        let upstreams: Vec<&Known> = if whole {
+            self.upstreams.values().collect()
+        } else {
+            let newer = self.index.newer_than(revision);
+            newer.filter_map(|id| self.upstreams.get(id)).collect()
+        };
         let departed = self.departed.iter().filter(|(_, d)| d.revision > revision);
         Changes {
             age: self.age(now),
             revision: self.revision,
             routes,
             whole,
-            upstreams: upstreams.map(|known| (*known.entry).clone()).collect(),
+            upstreams: upstreams.iter().map(|k| (*k.entry).clone()).collect(),
             departures: departed.map(|(id, d)| d.as_departure(id)).collect(),
             is_cut_off: false,
         }
@@ -125,10 +144,8 @@
     /// Whether an asker with these revisions lacks something.
     #[must_use]
     pub fn is_newer_than(&self, generation: Generation, revision: u64) -> bool {
-        let newest = |entry: &Known| entry.entry.revision;
-        let newest_entry = self.upstreams.values().map(newest).max().unwrap_or(0);
         let departures = self.departed.values().map(|d| d.revision);
-        let newest = newest_entry.max(departures.max().unwrap_or(0));
+        let newest = self.index.newest().max(departures.max().unwrap_or(0));
         self.routes.generation > generation || newest > revision
     }
 
@@ -152,23 +169,47 @@
             .chain(doubted.filter_map(|d| d.last.as_ref()))
     }
 
-    /// Upstreams that have left, but may still hold flows.
-    pub fn former(&self, now: Timestamp) -> impl Iterator<Item = &Known> {
-        let departed = self.departed.values();
-        let former = departed.filter(move |d| !d.is_doubted(now));
-        former.filter_map(|d| d.last.as_ref())
+    /// Number of changes of services so far; see [`Fleet::services_changed_since`].
+    #[must_use]
+    pub fn membership(&self) -> u64 {
+        self.index.changes()
+    }
+
+    /// Services whose upstreams have changed since [`Fleet::membership`] had a value.
+    pub fn services_changed_since(&self, membership: u64) -> impl Iterator<Item = &Name> {
+        self.index.changed_since(membership)
+    }
+
+    /// Upstreams of a service in the order of their standing, and within it of their identifiers.
+    #[must_use]
+    pub fn members(&self, now: Timestamp, service: &Name) -> Vec<(&Known, Standing)> {
+        let member = |id: &Name| {
+            if let Some(known) = self.upstreams.get(id) {
+                return Some((known, Standing::Named));
+            }
+            let departed = self.departed.get(id)?;
+            Some((departed.last.as_ref()?, departed.standing(now)))
+        };
+        let mut members: Vec<_> = self.index.of_service(service).filter_map(member).collect();
+        members.sort_by_key(|(_, standing)| *standing);
+        members
     }
 
     /// Forgets old departures; returns whether the set of upstreams has changed.
     pub fn expire(&mut self, now: Timestamp, last: Timestamp) -> bool {
         let before = self.departed.len();
-        let settled = |d: &Departed| d.is_doubted(last) && !d.is_doubted(now);
-        let any_settled = self.departed.values().any(settled);
-        let forgotten = &mut self.forgotten;
+        let mut any_settled = false;
+        let (forgotten, index) = (&mut self.forgotten, &mut self.index);
         self.departed.retain(|_, d| {
             let keep = now.since(d.at) < DEPARTURE_TTL;
             if !keep {
                 *forgotten = (*forgotten).max(d.revision);
+                d.last.iter().for_each(|known| index.remove(&known.entry));
+            } else if d.is_doubted(last) && !d.is_doubted(now) {
+                any_settled = true;
+                d.last
+                    .iter()
+                    .for_each(|known| index.touch(&known.entry.service));
             }
             keep
         });
@@ -190,7 +231,8 @@
         if is_old || departed.is_some_and(|d| d.revision >= entry.revision) {
             return false;
         }
-        self.departed.remove(&entry.id);
+        self.forget_entry(&entry.id);
+        self.index.add(&entry);
         let warm_at = now + entry.warm_up;
         let id = entry.id.clone();
         let entry = Arc::new(entry);
@@ -211,7 +253,11 @@
             entry: Arc::new(entry),
             warm_at: now,
         });
-        let last = self.upstreams.remove(&departure.id).or(heard);
+        let previous = self.forget_entry(&departure.id);
+        let last = previous.or(heard);
+        if let Some(known) = &last {
+            self.index.add_departed(&known.entry);
+        }
         let is_news = last.is_some();
         let departed = Departed {
             // A draining upstream leaves on purpose.
@@ -224,12 +270,22 @@
         is_news
     }
 
+    /// Takes out what is known under an identifier; returns the entry that the store named.
+    fn forget_entry(&mut self, id: &Name) -> Option<Known> {
+        let known = self.upstreams.remove(id);
+        let departed = self.departed.remove(id).and_then(|d| d.last);
+        for known in known.iter().chain(&departed) {
+            self.index.remove(&known.entry);
+        }
+        known
+    }
+
     fn remove_unnamed(&mut self, now: Timestamp, revision: u64, named: &[UpstreamEntry]) -> bool {
-        let is_named = |id: &Name| named.iter().any(|entry| entry.id == *id);
+        let named: HashSet<&Name> = named.iter().map(|entry| &entry.id).collect();
         let unnamed: Vec<Name> = self
             .upstreams
             .iter()
-            .filter(|(id, known)| known.entry.revision <= revision && !is_named(id))
+            .filter(|(id, known)| known.entry.revision <= revision && !named.contains(id))
             .map(|(id, _)| id.clone())
             .collect();
         let mut any = false;
@@ -245,6 +301,14 @@
         self.doubtful && now.since(self.at) < DOUBT
     }
 
+    fn standing(&self, now: Timestamp) -> Standing {
+        if self.is_doubted(now) {
+            Standing::Doubted
+        } else {
+            Standing::Former
+        }
+    }
+
     fn as_departure(&self, id: &Name) -> Departure {
         Departure {
             id: id.clone(),
--- /dev/null
+++ b/crates/plantainquay_core/src/fleet/index.rs
@@ -0,0 +1,83 @@
+//! Where the entries of a fleet are found without looking at all of them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use plantainquay_schema::{Name, UpstreamEntry};
+
+/// Entries by revision and by service, and services by their last change.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Index {
+    /// Entries that the store names, by their revisions.
+    by_revision: BTreeSet<(u64, Name)>,
+    /// Entries that the store names or that have left, by their services.
+    by_service: HashMap<Name, BTreeSet<Name>>,
+    /// Counts the changes of services.
+    changes: u64,
+    /// The services by the last change of each.
+    changed: BTreeMap<u64, Name>,
+    last_change: HashMap<Name, u64>,
+}
+
+impl Index {
+    /// Notes an entry that the store names.
+    pub(super) fn add(&mut self, entry: &UpstreamEntry) {
+        self.by_revision.insert((entry.revision, entry.id.clone()));
+        self.add_departed(entry);
+    }
+
+    /// Notes an entry that is remembered although the store doesn't name it.
+    pub(super) fn add_departed(&mut self, entry: &UpstreamEntry) {
+        let members = self.by_service.entry(entry.service.clone()).or_default();
+        members.insert(entry.id.clone());
+        self.touch(&entry.service);
+    }
+
+    /// Forgets an entry, unless it is noted anew.
+    pub(super) fn remove(&mut self, entry: &UpstreamEntry) {
+        self.by_revision.remove(&(entry.revision, entry.id.clone()));
+        if let Some(members) = self.by_service.get_mut(&entry.service) {
+            members.remove(&entry.id);
+            if members.is_empty() {
+                self.by_service.remove(&entry.service);
+            }
+        }
+        self.touch(&entry.service);
+    }
+
+    /// Notes that what a service's entries mean has changed.
+    pub(super) fn touch(&mut self, service: &Name) {
+        self.changes += 1;
+        let last = self.last_change.insert(service.clone(), self.changes);
+        if let Some(last) = last {
+            self.changed.remove(&last);
+        }
+        self.changed.insert(self.changes, service.clone());
+    }
+
+    /// Number of changes of services so far.
+    pub(super) fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Services that have changed since there were so many changes.
+    pub(super) fn changed_since(&self, changes: u64) -> impl Iterator<Item = &Name> {
+        self.changed.range(changes + 1..).map(|(_, name)| name)
+    }
+
+    /// Highest revision of an entry that the store names.
+    pub(super) fn newest(&self) -> u64 {
+        self.by_revision.last().map_or(0, |(revision, _)| *revision)
+    }
+
+    /// Entries that the store names whose revision is higher.
+    pub(super) fn newer_than(&self, revision: u64) -> impl Iterator<Item = &Name> {
+        let first = revision.checked_add(1);
+        let newer = first.map(|first| self.by_revision.range((first, Name::default())..));
+        newer.into_iter().flatten().map(|(_, id)| id)
+    }
+
+    /// Entries of a service, whether the store names them or not.
+    pub(super) fn of_service(&self, service: &Name) -> impl Iterator<Item = &Name> {
+        self.by_service.get(service).into_iter().flatten()
+    }
+}
--- a/crates/plantainquay_core/src/relay.rs
+++ b/crates/plantainquay_core/src/relay.rs
@@ -31,5 +31,5 @@
 pub use note::{Decision, Note};
 pub use packet::Packet;
 pub use policy::RelayPolicy;
-pub use sources::sources;
+pub use sources::{Sources, sources};
 pub use view::{Candidate, CandidateState, RelayView, ServiceCandidates};
--- a/crates/plantainquay_core/src/relay/sources.rs
+++ b/crates/plantainquay_core/src/relay/sources.rs
@@ -16,6 +16,9 @@
 /// Sources that a process tries before it reads the store itself.
 const TRIED: usize = 3;
 
+/// Sources in the order in which they are tried.
+pub type Sources = SmallVec<[SocketAddr; TRIED]>;
+
 /// The sources that the process on `own` tries, in order; empty when it is to read the store.
 ///
 /// Agents are the sources, since the store names every one of them. Each process computes the same
@@ -27,7 +30,7 @@
     own: IpAddr,
     data_centre: &Name,
     port: u16,
-) -> SmallVec<[SocketAddr; TRIED]> {
+) -> Sources {
     let mut seen = HashSet::new();
     let ready = fleet.current(now).filter(|known| !known.entry.draining);
     let mut agents: Vec<Agent> = ready
--- a/crates/plantainquay_core/src/relay/view.rs
+++ b/crates/plantainquay_core/src/relay/view.rs
@@ -12,7 +12,7 @@
 
 use super::{Action, Decision, Note};
 use crate::rendezvous::{mix, weighted};
-use crate::{Fleet, Known, Timestamp};
+use crate::{Fleet, Known, Standing, Timestamp};
 
 /// Separates the choice of a service from the choice of an upstream.
 const SERVICE_SEED: u64 = 0x5e_ed0f_5e21_71ce;
@@ -24,7 +24,10 @@
     revision: u64,
     is_confirmed: bool,
     routes: Arc<HashMap<SocketAddr, Route>>,
-    services: HashMap<ServiceId, ServiceCandidates>,
+    /// Shared with the view before where nothing has changed.
+    services: HashMap<ServiceId, Arc<ServiceCandidates>>,
+    /// [`Fleet::membership`] when the view was built.
+    membership: u64,
 }
 
 /// Upstreams of one service.
@@ -62,7 +65,9 @@
 }
 
 impl RelayView {
-    /// The view of what a process knows now; `previous` lends what has not changed.
+    /// The view of what a process knows now.
+    ///
+    /// `previous`, the view before of the same fleet, lends what has not changed.
     #[must_use]
     pub fn build(fleet: &Fleet, now: Timestamp, peer_port: u16, previous: &Self) -> Self {
         let document = fleet.routes();
@@ -72,20 +77,26 @@
             let routes = document.routes.iter();
             Arc::new(routes.map(|r| (r.listener.into(), r.clone())).collect())
         };
-        let mut services: HashMap<ServiceId, ServiceCandidates> = HashMap::new();
-        let mut add = |known: &Known, is_former: bool| {
-            let candidate = Candidate::new(known, peer_port, is_former);
-            let id = ServiceId::of(known.entry.service.as_str());
-            services.entry(id).or_default().add(candidate);
-        };
-        fleet.current(now).for_each(|known| add(known, false));
-        fleet.former(now).for_each(|known| add(known, true));
+        let mut services = previous.services.clone();
+        for name in fleet.services_changed_since(previous.membership) {
+            let mut service = ServiceCandidates::default();
+            for (known, standing) in fleet.members(now, name) {
+                service.add(Candidate::new(known, peer_port, standing));
+            }
+            let id = ServiceId::of(name.as_str());
+            if service.candidates.is_empty() {
+                services.remove(&id);
+            } else {
+                services.insert(id, Arc::new(service));
+            }
+        }
         Self {
             generation: document.generation,
             revision: fleet.revision(),
             is_confirmed: fleet.age(now).is_some(),
             routes,
             services,
+            membership: fleet.membership(),
         }
     }
 
@@ -140,7 +151,7 @@
     /// Upstreams of a service.
     #[must_use]
     pub fn service(&self, id: ServiceId) -> Option<&ServiceCandidates> {
-        self.services.get(&id)
+        self.services.get(&id).map(Arc::as_ref)
     }
 
     /// The service that a new flow of the route goes to, the same in every process.
@@ -231,12 +242,12 @@
 }
 
 impl Candidate {
-    fn new(known: &Known, peer_port: u16, is_former: bool) -> Self {
+    fn new(known: &Known, peer_port: u16, standing: Standing) -> Self {
         let entry: &UpstreamEntry = &known.entry;
-        let state = match (is_former, entry.draining) {
-            (true, _) => CandidateState::Former,
-            (false, true) => CandidateState::Draining,
-            (false, false) => CandidateState::Ready,
+        let state = match (standing, entry.draining) {
+            (Standing::Former, _) => CandidateState::Former,
+            (_, true) => CandidateState::Draining,
+            (_, false) => CandidateState::Ready,
         };
         Self {
             agent: SocketAddr::new(IpAddr::V4(entry.ip), peer_port),
--- a/crates/plantainquay_core/tests/relay/main.rs
+++ b/crates/plantainquay_core/tests/relay/main.rs
@@ -4,3 +4,4 @@
 mod opening;
 mod pacing;
 mod support;
+mod view;
--- /dev/null
+++ b/crates/plantainquay_core/tests/relay/view.rs
@@ -0,0 +1,125 @@
+//! Views that are brought up to date are those that are built anew.
+
+use std::time::Duration;
+
+use plantainquay_core::relay::{CandidateState, RelayView, ServiceCandidates};
+use plantainquay_core::{Fleet, Timestamp};
+use plantainquay_schema::{Changes, Departure, Generation, Name, ServiceId, UpstreamEntry};
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+use crate::support::{PEER_PORT, upstream};
+
+const SERVICES: [&str; 3] = ["feed", "desk", "maps"];
+
+/// What happens to a fleet.
+#[derive(Clone, Debug)]
+enum Step {
+    Put(u8, usize, bool),
+    Remove(u8),
+    /// A read of everything that names these alone.
+    Whole(Vec<u8>),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (1..8_u8, 0..SERVICES.len(), any::<bool>()).prop_map(|(n, s, d)| Step::Put(n, s, d)),
+        2 => (1..8_u8).prop_map(Step::Remove),
+        1 => vec(1..8_u8, 0..6).prop_map(Step::Whole),
+        3 => (1..4_000_u64).prop_map(Step::Wait),
+    ]
+}
+
+fn entry(number: u8, service: usize, draining: bool, revision: u64) -> UpstreamEntry {
+    UpstreamEntry {
+        service: SERVICES[service].into(),
+        draining,
+        revision,
+        ..upstream(number)
+    }
+}
+
+fn id(number: u8) -> Name {
+    upstream(number).id
+}
+
+fn apply(fleet: &mut Fleet, now: Timestamp, revision: u64, step: &Step) {
+    let mut changes = Changes {
+        age: Some(Duration::ZERO),
+        revision,
+        ..Changes::default()
+    };
+    match step {
+        Step::Put(number, service, draining) => {
+            let entry = entry(*number, *service, *draining, revision);
+            changes.upstreams.push(entry);
+        }
+        Step::Remove(number) => changes
+            .departures
+            .push(Departure::of(id(*number), revision)),
+        Step::Whole(numbers) => {
+            changes.whole = true;
+            let known = fleet.changes_since(now, Generation::default(), 0).upstreams;
+            let named = |entry: &UpstreamEntry| numbers.iter().any(|n| id(*n) == entry.id);
+            changes.upstreams = known.into_iter().filter(named).collect();
+        }
+        Step::Wait(_) => return,
+    }
+    fleet.apply(now, changes);
+}
+
+type Listed = Vec<(std::net::SocketAddr, CandidateState)>;
+
+fn listed(view: &RelayView) -> Vec<Listed> {
+    let service = |name: &&str| view.service(ServiceId::of(name));
+    let all = SERVICES.iter().map(service);
+    let candidates = all.map(|service| {
+        let all = service.into_iter().flat_map(ServiceCandidates::all);
+        all.map(|c| (c.agent, c.state)).collect()
+    });
+    candidates.collect()
+}
+
+proptest! {
+    #[test]
+    fn view_of_changes_is_the_view_of_everything(steps in vec(step(), 1..40)) {
+        let mut fleet = Fleet::default();
+        let mut view = RelayView::default();
+        let mut now = Timestamp(0);
+        for (step, revision) in steps.iter().zip(1..) {
+            let last = now;
+            if let Step::Wait(ms) = step {
+                now = now + Duration::from_millis(*ms);
+            }
+            fleet.expire(now, last);
+            apply(&mut fleet, now, revision, step);
+            view = RelayView::build(&fleet, now, PEER_PORT, &view);
+            let whole = RelayView::build(&fleet, now, PEER_PORT, &RelayView::default());
+            prop_assert_eq!(listed(&view), listed(&whole));
+        }
+    }
+
+    /// An asker is told of what is newer than its revision, and of nothing else.
+    #[test]
+    fn askers_hear_what_is_newer(steps in vec(step(), 1..40), revision in 0..40_u64) {
+        let mut fleet = Fleet::default();
+        for (step, at) in steps.iter().zip(1..) {
+            apply(&mut fleet, Timestamp(0), at, step);
+        }
+        let generation = Generation::default();
+        let everything = fleet.changes_since(Timestamp(0), generation, 0).upstreams;
+        let newer = fleet.changes_since(Timestamp(0), generation, revision);
+        let mut expected: Vec<_> = everything
+            .into_iter()
+            .filter(|entry| newer.whole || entry.revision > revision)
+            .collect();
+        let mut told = newer.upstreams;
+        expected.sort_by(|a, b| a.id.cmp(&b.id));
+        told.sort_by(|a, b| a.id.cmp(&b.id));
+        prop_assert_eq!(&told, &expected);
+        let has_news = !told.is_empty() || !newer.departures.is_empty();
+        // An asker from before the remembered departures gets everything, news or not.
+        prop_assert!(newer.whole || fleet.is_newer_than(generation, revision) == has_news);
+    }
+}
--- a/crates/plantainquay_net/src/relay/follow.rs
+++ b/crates/plantainquay_net/src/relay/follow.rs
@@ -10,7 +10,7 @@
 use ntex::http::StatusCode;
 use ntex::time::{Millis, sleep, timeout};
 use plantainquay_core::Timestamp;
-use plantainquay_core::relay::sources;
+use plantainquay_core::relay::{Sources, sources};
 use plantainquay_schema::{Changes, RelaySettings, wire};
 use prost::Message as _;
 
@@ -59,6 +59,8 @@
         next_read: Timestamp::default(),
         can_watch: false,
         is_connected: false,
+        sources: Sources::new(),
+        membership: None,
     };
     follower.start().await;
     loop {
@@ -87,6 +89,9 @@
     /// Whether a watch may continue from the revision that is known.
     can_watch: bool,
     is_connected: bool,
+    /// The sources, and the membership that they were chosen from.
+    sources: Sources,
+    membership: Option<u64>,
 }
 
 impl Follower {
@@ -98,13 +103,17 @@
         }
     }
 
-    fn sources(&self) -> Vec<SocketAddr> {
+    /// The sources to try, chosen anew when upstreams have come or gone.
+    fn sources(&mut self) -> Sources {
         let settings = &self.settings;
-        let port = settings.changes.port();
         let now = self.state.now();
         self.state.with(|fleet| {
-            sources(fleet, now, settings.own.ip(), &settings.data_centre, port).into_vec()
-        })
+            if self.membership.replace(fleet.membership()) != Some(fleet.membership()) {
+                let (own, port) = (settings.own.ip(), settings.changes.port());
+                self.sources = sources(fleet, now, own, &settings.data_centre, port);
+            }
+        });
+        self.sources.clone()
     }
 
     /// Hears of changes from the first source that knows what is in force, for as long as it does;
