Tell changes of routes to processes that have the routes before

Cause: each change of the routes was told as the whole document to every asker.

Ruled out: changes by generation alone, since two versions under one generation would mix; compression, which still grows with the document.

Change: RouteHistory keeps the last 64 steps; an asker names the digest of its routes and gets what turns them into those in force, or the whole document when the step is not remembered, is half of it, or when other routes had its generation. Askers that name none get whole documents, so that old and new processes understand each other.

--- a/crates/plantainquay_core/src/fleet.rs
+++ b/crates/plantainquay_core/src/fleet.rs
@@ -5,14 +5,18 @@
 //! order in which changes arrive.
 
 mod index;
+mod route_history;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use plantainquay_schema::{Changes, Departure, Generation, Name, RouteDocument, UpstreamEntry};
+use plantainquay_schema::{
+    Changes, Departure, Generation, Name, RouteChanges, RouteDocument, UpstreamEntry,
+};
 
 use self::index::Index;
+use self::route_history::RouteHistory;
 use crate::Timestamp;
 
 /// Time for which a departure is remembered, for askers and for flows that were open there.
@@ -27,6 +31,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     routes: Arc<RouteDocument>,
+    routes_digest: u64,
+    route_history: RouteHistory,
     revision: u64,
     upstreams: BTreeMap<Name, Known>,
     departed: HashMap<Name, Departed>,
@@ -39,6 +45,17 @@
     confirmed: Option<i64>,
 }
 
+/// What a process has that asks for changes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Asker {
+    /// Generation of its routes; zero for none.
+    pub generation: Generation,
+    /// Revision up to which it knows of upstreams.
+    pub revision: u64,
+    /// Digest of its routes; none when it takes whole documents alone.
+    pub routes_digest: Option<u64>,
+}
+
 /// An entry and when it was heard of.
 #[derive(Clone, Debug)]
 pub struct Known {
@@ -84,6 +101,9 @@
         if let Some(routes) = changes.routes {
             applied.routes = self.apply_routes(routes);
         }
+        if let Some(changes) = changes.route_changes {
+            applied.routes |= self.apply_route_changes(changes);
+        }
         if changes.whole {
             applied.upstreams |= self.remove_unnamed(now, changes.revision, &changes.upstreams);
             self.forgotten = self.forgotten.max(changes.revision);
@@ -120,9 +140,14 @@
     ///
     /// An asker whose revision lies before the remembered departures gets every entry.
     #[must_use]
-    pub fn changes_since(&self, now: Timestamp, generation: Generation, revision: u64) -> Changes {
+    pub fn changes_since(&self, now: Timestamp, asker: Asker) -> Changes {
+        let revision = asker.revision;
         let whole = revision < self.forgotten;
-        let routes = (self.routes.generation > generation).then(|| (*self.routes).clone());
+        let is_behind = self.routes.generation > asker.generation;
+        let digest = asker.routes_digest.filter(|_| is_behind);
+        let since = |digest| self.route_history.since(asker.generation, digest);
+        let route_changes = digest.and_then(since);
+        let routes = (is_behind && route_changes.is_none()).then(|| (*self.routes).clone());
         let upstreams: Vec<&Known> = if whole {
             self.upstreams.values().collect()
         } else {
@@ -134,6 +159,7 @@
             age: self.age(now),
             revision: self.revision,
             routes,
+            route_changes,
             whole,
             upstreams: upstreams.iter().map(|k| (*k.entry).clone()).collect(),
             departures: departed.map(|(id, d)| d.as_departure(id)).collect(),
@@ -141,12 +167,22 @@
         }
     }
 
-    /// Whether an asker with these revisions lacks something.
+    /// What the own state tells another process when it asks for changes.
     #[must_use]
-    pub fn is_newer_than(&self, generation: Generation, revision: u64) -> bool {
+    pub fn as_asker(&self) -> Asker {
+        Asker {
+            generation: self.routes.generation,
+            revision: self.revision,
+            routes_digest: Some(self.routes_digest),
+        }
+    }
+
+    /// Whether an asker lacks something.
+    #[must_use]
+    pub fn is_newer_than(&self, asker: Asker) -> bool {
         let departures = self.departed.values().map(|d| d.revision);
         let newest = self.index.newest().max(departures.max().unwrap_or(0));
-        self.routes.generation > generation || newest > revision
+        self.routes.generation > asker.generation || newest > asker.revision
     }
 
     /// Routes in force.
@@ -220,10 +256,19 @@
         if routes.generation <= self.routes.generation {
             return false;
         }
+        self.route_history
+            .record(&self.routes, self.routes_digest, &routes);
+        self.routes_digest = routes.digest();
         self.routes = Arc::new(routes);
         true
     }
 
+    fn apply_route_changes(&mut self, changes: RouteChanges) -> bool {
+        // An asker that has other routes by now is told anew.
+        let follows = changes.from == self.routes.generation;
+        follows && self.apply_routes(route_history::changed(&self.routes, changes))
+    }
+
     fn put(&mut self, now: Timestamp, entry: UpstreamEntry) -> bool {
         let known = self.upstreams.get(&entry.id);
         let is_old = known.is_some_and(|known| known.entry.revision >= entry.revision);
--- /dev/null
+++ b/crates/plantainquay_core/src/fleet/route_history.rs
@@ -0,0 +1,102 @@
+//! What the last changes of the routes were, for askers that know the routes before.
+
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddrV4;
+
+use plantainquay_schema::{Generation, Route, RouteChanges, RouteDocument};
+
+/// Generations that are remembered; an asker that lags further gets the whole document.
+const MAX_STEPS: usize = 64;
+/// Part of a document, as one over this number, from which on a change is told as a whole.
+const WHOLE_FROM: usize = 2;
+
+/// The last changes, each of which follows on the one before it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RouteHistory {
+    steps: VecDeque<Step>,
+}
+
+#[derive(Clone, Debug)]
+struct Step {
+    /// Digest of the routes before.
+    from_digest: u64,
+    changes: RouteChanges,
+}
+
+impl RouteHistory {
+    /// Remembers the step from one document to the next.
+    pub(super) fn record(&mut self, old: &RouteDocument, from_digest: u64, new: &RouteDocument) {
+        let changes = difference(old, new);
+        let size = changes.put.len() + changes.removed.len();
+        if size >= new.routes.len().div_ceil(WHOLE_FROM) {
+            return self.steps.clear();
+        }
+        self.steps.push_back(Step {
+            from_digest,
+            changes,
+        });
+        if self.steps.len() > MAX_STEPS {
+            self.steps.pop_front();
+        }
+    }
+
+    /// The changes since the routes of a generation, as one; none when they are not remembered, or
+    /// other routes had this generation.
+    pub(super) fn since(&self, from: Generation, digest: u64) -> Option<RouteChanges> {
+        let is_first = |s: &Step| s.changes.from == from && s.from_digest == digest;
+        let first = self.steps.iter().position(is_first)?;
+        let steps = self.steps.range(first..).map(|step| &step.changes);
+        let generation = self.steps.back()?.changes.generation;
+        let mut merged: BTreeMap<SocketAddrV4, Option<&Route>> = BTreeMap::new();
+        for step in steps {
+            merged.extend(step.removed.iter().map(|listener| (*listener, None)));
+            merged.extend(step.put.iter().map(|route| (route.listener, Some(route))));
+        }
+        let removed = merged.iter().filter(|(_, route)| route.is_none());
+        Some(RouteChanges {
+            from,
+            generation,
+            removed: removed.map(|(listener, _)| *listener).collect(),
+            put: merged.values().filter_map(|route| route.cloned()).collect(),
+        })
+    }
+}
+
+/// What turns one document into another.
+fn difference(old: &RouteDocument, new: &RouteDocument) -> RouteChanges {
+    let before = by_listener(old);
+    let after = by_listener(new);
+    let is_new = |route: &&&Route| before.get(&route.listener) != Some(*route);
+    let mut put: Vec<Route> = after
+        .values()
+        .filter(is_new)
+        .map(|r| (*r).clone())
+        .collect();
+    put.sort_unstable_by_key(|route| route.listener);
+    let is_gone = |listener: &&SocketAddrV4| !after.contains_key(*listener);
+    let mut removed: Vec<SocketAddrV4> = before.keys().filter(is_gone).copied().collect();
+    removed.sort_unstable();
+    RouteChanges {
+        from: old.generation,
+        generation: new.generation,
+        put,
+        removed,
+    }
+}
+
+/// The document that changes turn another one into.
+pub(super) fn changed(old: &RouteDocument, changes: RouteChanges) -> RouteDocument {
+    let put = changes.put.iter().map(|route| &route.listener);
+    let replaced: HashSet<SocketAddrV4> = changes.removed.iter().chain(put).copied().collect();
+    let is_kept = |route: &&Route| !replaced.contains(&route.listener);
+    let mut routes: Vec<Route> = old.routes.iter().filter(is_kept).cloned().collect();
+    routes.extend(changes.put);
+    RouteDocument {
+        generation: changes.generation,
+        routes,
+    }
+}
+
+fn by_listener(document: &RouteDocument) -> HashMap<SocketAddrV4, &Route> {
+    document.routes.iter().map(|r| (r.listener, r)).collect()
+}
--- a/crates/plantainquay_core/tests/relay/main.rs
+++ b/crates/plantainquay_core/tests/relay/main.rs
@@ -3,5 +3,6 @@
 mod lookup;
 mod opening;
 mod pacing;
+mod routes;
 mod support;
 mod view;
--- /dev/null
+++ b/crates/plantainquay_core/tests/relay/routes.rs
@@ -0,0 +1,109 @@
+//! Processes that hear of changes of routes have the routes of the store.
+
+use plantainquay_core::{Asker, Fleet, Timestamp};
+use plantainquay_schema::{Changes, Generation, Route, RouteDocument, WeightedService, wire};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use prost::Message as _;
+
+use crate::support::route;
+
+/// Ports that have routes, each with the weight of a second service.
+type Ports = Vec<(u16, u32)>;
+
+fn document(generation: u64, ports: &Ports) -> RouteDocument {
+    let other = |weight| WeightedService::new("other", weight);
+    let routes = ports.iter().map(|(port, weight)| {
+        let mut route = route(*port, 1);
+        route.services.push(other(*weight));
+        route
+    });
+    RouteDocument {
+        generation: Generation(generation),
+        routes: routes.collect(),
+    }
+}
+
+fn publish(fleet: &mut Fleet, generation: u64, ports: &Ports) {
+    let changes = Changes {
+        routes: Some(document(generation, ports)),
+        ..Changes::default()
+    };
+    fleet.apply(Timestamp(0), changes);
+}
+
+/// What a process hears from another, over the wire.
+fn ask(asker: &mut Fleet, source: &Fleet) -> Changes {
+    let told = source.changes_since(Timestamp(0), asker.as_asker());
+    let bytes = wire::fleet::Changes::from(&told).encode_to_vec();
+    let read = wire::fleet::Changes::decode(bytes.as_slice()).expect("what was encoded");
+    let read = Changes::try_from(read).expect("good changes");
+    asker.apply(Timestamp(0), read.clone());
+    read
+}
+
+/// Routes by port; of several with one port the last counts.
+fn in_force(fleet: &Fleet) -> Vec<Route> {
+    let mut routes: Vec<Route> = Vec::new();
+    for route in &fleet.routes().routes {
+        routes.retain(|known| known.listener != route.listener);
+        routes.push(route.clone());
+    }
+    routes.sort_by_key(|route| route.listener);
+    routes
+}
+
+fn ports() -> impl Strategy<Value = Ports> {
+    vec((1..12_u16, 0..3_u32), 0..12)
+}
+
+proptest! {
+    #[test]
+    fn askers_have_the_routes_of_their_source(
+        documents in vec((ports(), any::<bool>()), 1..20),
+    ) {
+        let (mut source, mut asker) = (Fleet::default(), Fleet::default());
+        for ((ports, asks), generation) in documents.iter().zip(1..) {
+            publish(&mut source, generation, ports);
+            if *asks {
+                ask(&mut asker, &source);
+                prop_assert_eq!(in_force(&asker), in_force(&source));
+                prop_assert_eq!(asker.routes().generation, Generation(generation));
+            }
+        }
+    }
+
+    /// Two versions that were published under one generation never mix.
+    #[test]
+    fn asker_with_other_routes_hears_everything(first in ports(), second in ports(), third in ports()) {
+        let (mut source, mut asker) = (Fleet::default(), Fleet::default());
+        publish(&mut asker, 1, &first);
+        publish(&mut source, 1, &second);
+        publish(&mut source, 2, &third);
+        ask(&mut asker, &source);
+        prop_assert_eq!(in_force(&asker), in_force(&source));
+    }
+}
+
+/// One changed route of many is told alone, and whole to a process that asks for no changes.
+#[test]
+fn small_change_is_told_alone() {
+    let many: Ports = (1..=100).map(|port| (port, 1)).collect();
+    let (mut source, mut asker) = (Fleet::default(), Fleet::default());
+    publish(&mut source, 1, &many);
+    assert!(ask(&mut asker, &source).routes.is_some());
+    let mut other = many;
+    other[7].1 = 2;
+    other.remove(50);
+    publish(&mut source, 2, &other);
+    let old = Asker {
+        routes_digest: None,
+        ..asker.as_asker()
+    };
+    assert!(source.changes_since(Timestamp(0), old).routes.is_some());
+    let told = ask(&mut asker, &source);
+    assert!(told.routes.is_none());
+    let changes = told.route_changes.expect("a change of the routes");
+    assert_eq!((changes.put.len(), changes.removed.len()), (1, 1));
+    assert_eq!(in_force(&asker), in_force(&source));
+}
--- a/crates/plantainquay_core/tests/relay/view.rs
+++ b/crates/plantainquay_core/tests/relay/view.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use plantainquay_core::relay::{CandidateState, RelayView, ServiceCandidates};
-use plantainquay_core::{Fleet, Timestamp};
-use plantainquay_schema::{Changes, Departure, Generation, Name, ServiceId, UpstreamEntry};
+use plantainquay_core::{Asker, Fleet, Timestamp};
+use plantainquay_schema::{Changes, Departure, Name, ServiceId, UpstreamEntry};
 use proptest::collection::vec;
 use proptest::prelude::*;
 
@@ -60,7 +60,7 @@
             .push(Departure::of(id(*number), revision)),
         Step::Whole(numbers) => {
             changes.whole = true;
-            let known = fleet.changes_since(now, Generation::default(), 0).upstreams;
+            let known = fleet.changes_since(now, Asker::default()).upstreams;
             let named = |entry: &UpstreamEntry| numbers.iter().any(|n| id(*n) == entry.id);
             changes.upstreams = known.into_iter().filter(named).collect();
         }
@@ -107,9 +107,9 @@
         for (step, at) in steps.iter().zip(1..) {
             apply(&mut fleet, Timestamp(0), at, step);
         }
-        let generation = Generation::default();
-        let everything = fleet.changes_since(Timestamp(0), generation, 0).upstreams;
-        let newer = fleet.changes_since(Timestamp(0), generation, revision);
+        let asker = Asker { revision, ..Asker::default() };
+        let everything = fleet.changes_since(Timestamp(0), Asker::default()).upstreams;
+        let newer = fleet.changes_since(Timestamp(0), asker);
         let mut expected: Vec<_> = everything
             .into_iter()
             .filter(|entry| newer.whole || entry.revision > revision)
@@ -120,6 +120,6 @@
         prop_assert_eq!(&told, &expected);
         let has_news = !told.is_empty() || !newer.departures.is_empty();
         // An asker from before the remembered departures gets everything, news or not.
-        prop_assert!(newer.whole || fleet.is_newer_than(generation, revision) == has_news);
+        prop_assert!(newer.whole || fleet.is_newer_than(asker) == has_news);
     }
 }
--- a/crates/plantainquay_net/src/relay/fleet_state.rs
+++ b/crates/plantainquay_net/src/relay/fleet_state.rs
@@ -9,8 +9,8 @@
 use log::Level;
 use parking_lot::Mutex;
 use plantainquay_core::relay::RelayView;
-use plantainquay_core::{Applied, Fleet, Timestamp};
-use plantainquay_schema::{Changes, Generation};
+use plantainquay_core::{Applied, Asker, Fleet, Timestamp};
+use plantainquay_schema::Changes;
 use tokio::sync::watch;
 
 use crate::{Clock, event};
@@ -136,9 +136,9 @@
 
     /// Everything that is newer than what an asker has.
     #[must_use]
-    pub fn changes_since(&self, generation: Generation, revision: u64) -> Changes {
+    pub fn changes_since(&self, asker: Asker) -> Changes {
         let now = self.clock.now();
-        let changes = self.with(|fleet| fleet.changes_since(now, generation, revision));
+        let changes = self.with(|fleet| fleet.changes_since(now, asker));
         Changes {
             is_cut_off: self.is_cut_off(),
             ..changes
--- a/crates/plantainquay_net/src/relay/follow.rs
+++ b/crates/plantainquay_net/src/relay/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the store, directly or through processes that read it on behalf of others.
 
-use std::fmt;
+use std::fmt::{self, Write as _};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,8 +9,8 @@
 use ntex::client::Client;
 use ntex::http::StatusCode;
 use ntex::time::{Millis, sleep, timeout};
-use plantainquay_core::Timestamp;
 use plantainquay_core::relay::{Sources, sources};
+use plantainquay_core::{Fleet, Timestamp};
 use plantainquay_schema::{Changes, RelaySettings, wire};
 use prost::Message as _;
 
@@ -145,13 +145,17 @@
 
     /// Asks a source for changes; none when it doesn't answer.
     async fn ask(&self, source: SocketAddr, wait: Duration) -> Option<Changes> {
-        let (generation, revision) = self
-            .state
-            .with(|fleet| (fleet.routes().generation.0, fleet.revision()));
-        let url = format!(
-            "http://{source}/v1/changes?generation={generation}&revision={revision}&wait_ms={}",
+        let own = self.state.with(Fleet::as_asker);
+        let mut url = format!(
+            "http://{source}/v1/changes?generation={}&revision={}&wait_ms={}",
+            own.generation,
+            own.revision,
             wait.as_millis()
         );
+        if let Some(digest) = own.routes_digest {
+            // Writing to a string never fails.
+            let _infallible = write!(url, "&routes={digest}");
+        }
         match timeout(wait + SOURCE_GRACE, self.fetch(&url)).await {
             Ok(Ok(changes)) => Some(changes),
             Ok(Err(error)) => {
@@ -183,7 +187,7 @@
         if self.state.now() < self.next_read {
             return;
         }
-        let revision = self.state.with(plantainquay_core::Fleet::revision);
+        let revision = self.state.with(Fleet::revision);
         let read = if self.can_watch {
             (self.store.watch)(revision).await
         } else {
--- a/crates/plantainquay_net/src/relay/http.rs
+++ b/crates/plantainquay_net/src/relay/http.rs
@@ -10,6 +10,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use ntex::time::{Seconds, timeout};
 use ntex::web::{self, App, HttpResponse, HttpServer};
+use plantainquay_core::Asker;
 use plantainquay_schema::{Generation, wire};
 use prost::Message as _;
 use serde::Deserialize;
@@ -93,21 +94,33 @@
 
 /// What an asker has, and how long it waits for more.
 #[derive(Deserialize)]
-struct Asker {
+struct ChangesQuery {
     generation: u64,
     revision: u64,
     wait_ms: u64,
+    /// Digest of the asker's routes; without it routes are told whole.
+    routes: Option<u64>,
+}
+
+impl From<&ChangesQuery> for Asker {
+    fn from(query: &ChangesQuery) -> Self {
+        Self {
+            generation: Generation(query.generation),
+            revision: query.revision,
+            routes_digest: query.routes,
+        }
+    }
 }
 
 /// Answers with what is newer than the asker's state, as soon as there is any.
 #[web::get("/v1/changes")]
-async fn changes(state: State, asker: web::types::Query<Asker>) -> HttpResponse {
-    let generation = Generation(asker.generation);
-    let wait = Duration::from_millis(asker.wait_ms).min(SOURCE_WAIT);
+async fn changes(state: State, query: web::types::Query<ChangesQuery>) -> HttpResponse {
+    let asker = Asker::from(&*query);
+    let wait = Duration::from_millis(query.wait_ms).min(SOURCE_WAIT);
     let mut changed = state.fleet.subscribe();
     let is_newer = || {
         let fleet = &state.fleet;
-        fleet.with(|fleet| fleet.is_newer_than(generation, asker.revision))
+        fleet.with(|fleet| fleet.is_newer_than(asker))
     };
     let wait_for_news = async {
         while !is_newer() && !state.fleet.is_cut_off() {
@@ -118,7 +131,7 @@
     };
     // Nothing new in time is an answer as well: the state is confirmed.
     let _in_time = timeout(wait, wait_for_news).await;
-    let newer = state.fleet.changes_since(generation, asker.revision);
+    let newer = state.fleet.changes_since(asker);
     let body = wire::fleet::Changes::from(&newer).encode_to_vec();
     HttpResponse::Ok()
         .content_type("application/x-protobuf")
--- a/crates/plantainquay_schema/src/fleet.rs
+++ b/crates/plantainquay_schema/src/fleet.rs
@@ -3,7 +3,9 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
+use prost::Message as _;
 use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{Fault, Faults, Generation, Incarnation, Name, ServiceId, wire};
 
@@ -16,6 +18,19 @@
     pub routes: Vec<Route>,
 }
 
+/// What turns the routes of one generation into those of a later one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteChanges {
+    /// Generation of the routes that are changed.
+    pub from: Generation,
+    /// Generation of what they become.
+    pub generation: Generation,
+    /// Routes that are new or have changed.
+    pub put: Vec<Route>,
+    /// Addresses and ports whose routes have gone.
+    pub removed: Vec<SocketAddrV4>,
+}
+
 /// One address and port with the services behind it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
@@ -85,6 +100,8 @@
     pub revision: u64,
     /// Routes, when they are newer than the asker's.
     pub routes: Option<RouteDocument>,
+    /// What turns the asker's routes into those in force, in place of `routes`.
+    pub route_changes: Option<RouteChanges>,
     /// Whether `upstreams` names every upstream.
     pub whole: bool,
     /// Entries that were written.
@@ -107,6 +124,19 @@
     }
 }
 
+impl RouteDocument {
+    /// Tells the routes from others of the same generation; their order doesn't count.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let hash = |route: &Route| {
+            let encoded = wire::fleet::Route::from(route).encode_to_vec();
+            xxh3_64_with_seed(&encoded, self.generation.0)
+        };
+        let empty = xxh3_64_with_seed(&[], self.generation.0);
+        self.routes.iter().map(hash).fold(empty, u64::wrapping_add)
+    }
+}
+
 impl Route {
     /// Checks that the weights choose a service.
     #[must_use]
@@ -165,14 +195,49 @@
     }
 }
 
+impl From<&RouteChanges> for wire::fleet::RouteChanges {
+    fn from(changes: &RouteChanges) -> Self {
+        let removed = changes.removed.iter().map(|l| wire::fleet::Listener {
+            ip: l.ip().to_bits(),
+            port: l.port().into(),
+        });
+        Self {
+            from: changes.from.0,
+            generation: changes.generation.0,
+            put: changes.put.iter().map(Into::into).collect(),
+            removed: removed.collect(),
+        }
+    }
+}
+
+impl TryFrom<wire::fleet::RouteChanges> for RouteChanges {
+    type Error = Faults;
+
+    fn try_from(changes: wire::fleet::RouteChanges) -> Result<Self, Faults> {
+        let put = changes.put.into_iter().map(Route::try_from);
+        let removed = changes.removed.iter().map(|l| listener(l.ip, l.port));
+        Ok(Self {
+            from: Generation(changes.from),
+            generation: Generation(changes.generation),
+            put: put.collect::<Result<_, _>>()?,
+            removed: removed.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+fn listener(ip: u32, port: u32) -> Result<SocketAddrV4, Faults> {
+    let port = u16::try_from(port).map_err(|_e| fault("port", "is out of range"))?;
+    Ok(SocketAddrV4::new(Ipv4Addr::from_bits(ip), port))
+}
+
 impl TryFrom<wire::fleet::Route> for Route {
     type Error = Faults;
 
     fn try_from(route: wire::fleet::Route) -> Result<Self, Faults> {
-        let port = u16::try_from(route.port).map_err(|_e| fault("port", "is out of range"))?;
+        let listener = listener(route.ip, route.port)?;
         let services = route.services.iter();
         let route = Self {
-            listener: SocketAddrV4::new(Ipv4Addr::from_bits(route.ip), port),
+            listener,
             services: services
                 .map(|s| WeightedService::new(&s.name, s.weight))
                 .collect(),
@@ -240,6 +305,7 @@
                 .map(|age| u32::try_from(millis(age)).unwrap_or(u32::MAX)),
             revision: changes.revision,
             routes: changes.routes.as_ref().map(Into::into),
+            route_changes: changes.route_changes.as_ref().map(Into::into),
             whole: changes.whole,
             upstreams: changes.upstreams.iter().map(Into::into).collect(),
             departures: departures.collect(),
@@ -261,6 +327,7 @@
             age: changes.age_ms.map(|age| Duration::from_millis(age.into())),
             revision: changes.revision,
             routes: changes.routes.map(TryInto::try_into).transpose()?,
+            route_changes: changes.route_changes.map(TryInto::try_into).transpose()?,
             whole: changes.whole,
             upstreams: changes.upstreams.into_iter().map(Into::into).collect(),
             departures: departures.collect(),
--- a/crates/plantainquay_schema/src/lib.rs
+++ b/crates/plantainquay_schema/src/lib.rs
@@ -34,7 +34,9 @@
 };
 pub use fault::{Fault, Faults};
 pub use five_tuple::FiveTuple;
-pub use fleet::{Changes, Departure, Route, RouteDocument, UpstreamEntry, WeightedService};
+pub use fleet::{
+    Changes, Departure, Route, RouteChanges, RouteDocument, UpstreamEntry, WeightedService,
+};
 pub use ids::{DocumentVersion, FlowId, Generation, Incarnation, ServiceId, UpstreamNumber};
 pub use in_force::InForce;
 pub use instances::{Instance, instances_from};
--- a/crates/plantainquay_trace/src/relay/process.rs
+++ b/crates/plantainquay_trace/src/relay/process.rs
@@ -8,8 +8,8 @@
     Actions, Packet, RelayAgent, RelayAgentConfig, RelayBalancer, RelayBalancerConfig, RelayPolicy,
     RelayView,
 };
-use plantainquay_core::{Fleet, Timestamp};
-use plantainquay_schema::{Changes, Generation, RelayMessage, ServiceId};
+use plantainquay_core::{Asker, Fleet, Timestamp};
+use plantainquay_schema::{Changes, RelayMessage, ServiceId};
 
 /// Port of messages between processes.
 pub(super) const PEER_PORT: u16 = 7_000;
@@ -70,7 +70,7 @@
 
     /// What the process tells one that knows nothing.
     pub(super) fn everything(&self, now: Timestamp) -> Changes {
-        self.fleet.changes_since(now, Generation::default(), 0)
+        self.fleet.changes_since(now, Asker::default())
     }
 
     pub(super) fn tick(&mut self, now: Timestamp, last: Timestamp) -> Actions {
--- a/examples/slopes/relay.rs
+++ b/examples/slopes/relay.rs
@@ -60,8 +60,8 @@
     let mut rank = Duration::ZERO;
     for change in 1..=CHANGES {
         let now = Timestamp::from_millis(10 * change);
-        let known = fleet.revision();
-        let generation = fleet.routes().generation;
+        let asker = fleet.as_asker();
+        let known = asker.revision;
         let entry = entry(upstreams / 2, upstreams, known + 1);
         let news = Changes {
             age: Some(Duration::ZERO),
@@ -73,8 +73,8 @@
         fleet.apply(now, news);
         apply += start.elapsed();
         let start = Instant::now();
-        black_box(fleet.is_newer_than(generation, known));
-        black_box(fleet.changes_since(now, generation, known));
+        black_box(fleet.is_newer_than(asker));
+        black_box(fleet.changes_since(now, asker));
         answer += start.elapsed();
         let start = Instant::now();
         view = RelayView::build(&fleet, now, PEER_PORT, &view);
