--- a/crates/plantainquay_core/src/fleet.rs
+++ b/crates/plantainquay_core/src/fleet.rs
@@ -4,6 +4,7 @@
 //! [`Fleet::apply`], which takes each entry by its revision and never goes back, whatever the
 //! order in which changes arrive.
 
+mod departed;
 mod index;
 mod route_history;
 
@@ -15,17 +16,14 @@
     Changes, Departure, Generation, Name, RouteChanges, RouteDocument, UpstreamEntry,
 };
 
+use self::departed::Departed;
+pub use self::departed::Standing;
 use self::index::Index;
 use self::route_history::RouteHistory;
 use crate::Timestamp;
 
 /// Time for which a departure is remembered, for askers and for flows that were open there.
 const DEPARTURE_TTL: Duration = Duration::from_secs(30);
-/// Time for which the entry of an upstream that didn't say it would leave still counts.
-///
-/// Entries expire by mistake while the store is away, and upstreams that live write theirs anew
-/// within two seconds of its return.
-const DOUBT: Duration = Duration::from_millis(2_200);
 
 /// Everything that a process knows of routes and upstreams.
 #[derive(Clone, Debug, Default)]
@@ -65,26 +63,6 @@
     pub warm_at: Timestamp,
 }
 
-/// How sure it is that an upstream is still there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Standing {
-    /// The store names it.
-    Named,
-    /// The store no longer names it, maybe by mistake; it counts as if it did.
-    Doubted,
-    /// It has left, but may still hold flows.
-    Former,
-}
-
-#[derive(Clone, Debug)]
-struct Departed {
-    last: Option<Known>,
-    revision: u64,
-    at: Timestamp,
-    /// Whether the entry may have expired by mistake.
-    doubtful: bool,
-}
-
 /// What [`Fleet::apply`] has changed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Applied {
@@ -340,25 +318,3 @@
         any
     }
 }
-
-impl Departed {
-    fn is_doubted(&self, now: Timestamp) -> bool {
-        self.doubtful && now.since(self.at) < DOUBT
-    }
-
-    fn standing(&self, now: Timestamp) -> Standing {
-        if self.is_doubted(now) {
-            Standing::Doubted
-        } else {
-            Standing::Former
-        }
-    }
-
-    fn as_departure(&self, id: &Name) -> Departure {
-        Departure {
-            id: id.clone(),
-            revision: self.revision,
-            last: self.last.as_ref().map(|known| (*known.entry).clone()),
-        }
-    }
-}
--- a/crates/plantainquay_core/src/relay/balancer/suspects.rs
+++ b/crates/plantainquay_core/src/relay/balancer/suspects.rs
@@ -11,8 +11,8 @@
 
 /// Time for which a silent agent is left out, after which a flow tries it again.
 const SUSPICION: Duration = Duration::from_secs(2);
-/// Part of a service that is left out at most, as one over this number: a balancer that sees more
-/// silent agents may be cut off itself, and would flood the others.
+/// Part of a service that is left out at most, as one over this number, though one agent always is:
+/// a balancer that sees more silent agents may be cut off itself, and would flood the others.
 const MAX_LEFT_OUT: usize = 3;
 
 /// Agents that were silent, and since when.
