Say once what stood twice: passing on, asking for changes, names

Cause: a reading of the whole change. An opening packet was passed on in three places with the same count, note and message; the operators' tool and the follower each asked /v1/changes and read the answer; the packet inside a message was found in two front ends; both kinds of settings checked names in their own words; a log line made a string of an address before it was known whether the line is written.

Ruled out: one generator of numbers in the world of traces, which would change recorded outcomes; one trait for reports of examples, whose charts differ.

Change: opening::pass_on, net::relay::fetch_changes, RelayBody::packet, check_name; the tool has one client and one reading of a flow's addresses. No decision, bound or expectation changes.

--- a/crates/plantainquay_core/src/relay/agent/opening.rs
+++ b/crates/plantainquay_core/src/relay/agent/opening.rs
@@ -64,22 +64,12 @@
             opening.best = Some(Bid { agent: own, load });
         }
         opening.chosen = false;
-        cx.count(|c| c.passed_on += 1);
-        cx.note(
-            packet.tuple,
-            Decision::OpeningPassedOn,
-            Some(next),
-            load.into(),
-        );
-        return cx.send(next, RelayBody::Opening(opening));
+        return pass_on(cx, next, opening, packet, load);
     }
     match opening.best {
         Some(best) if best.agent != own && !opening.chosen && is_better(best) => {
             opening.chosen = true;
-            cx.count(|c| c.passed_on += 1);
-            let to = Some(best.agent);
-            cx.note(packet.tuple, Decision::OpeningPassedOn, to, load.into());
-            cx.send(best.agent, RelayBody::Opening(opening));
+            pass_on(cx, best.agent, opening, packet, load);
         }
         _ if load == UNAVAILABLE => refuse(cx, &opening, packet),
         _ => offer(cx, opening, packet, load),
@@ -104,6 +94,19 @@
     Some(next.agent)
 }
 
+fn pass_on(
+    cx: &mut Context<'_>,
+    to: SocketAddr,
+    opening: OpeningPacket,
+    packet: &Packet,
+    load: u32,
+) {
+    cx.count(|c| c.passed_on += 1);
+    let agent = Some(to);
+    cx.note(packet.tuple, Decision::OpeningPassedOn, agent, load.into());
+    cx.send(to, RelayBody::Opening(opening));
+}
+
 fn offer(cx: &mut Context<'_>, opening: OpeningPacket, packet: &Packet, load: u32) {
     let flow = packet.tuple.flow_id();
     let mut shard = cx.agent.shard(flow);
@@ -135,15 +138,8 @@
     match next.map(|next| next.agent) {
         Some(next) if opening.visited.len() < MAX_VISITS => {
             opening.chosen = true;
-            cx.count(|c| c.passed_on += 1);
             let load = own_load(cx);
-            cx.note(
-                packet.tuple,
-                Decision::OpeningPassedOn,
-                Some(next),
-                load.into(),
-            );
-            cx.send(next, RelayBody::Opening(opening));
+            pass_on(cx, next, opening, packet, load);
         }
         _ => refuse(cx, &opening, packet),
     }
--- a/crates/plantainquay_net/src/relay.rs
+++ b/crates/plantainquay_net/src/relay.rs
@@ -4,6 +4,7 @@
 //! [`PacketFormat`] and [`StoreReader`].
 
 mod agent;
+mod ask;
 mod balancer;
 mod carrier;
 mod fleet_state;
@@ -14,6 +15,7 @@
 mod store;
 
 pub use agent::AgentThreads;
+pub use ask::fetch_changes;
 pub use balancer::BalancerThreads;
 pub use carrier::{Carrier, RelayStartError};
 pub use fleet_state::FleetState;
--- /dev/null
+++ b/crates/plantainquay_net/src/relay/ask.rs
@@ -0,0 +1,47 @@
+//! How a process is asked for what it knows.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ntex::client::Client;
+use ntex::http::StatusCode;
+use plantainquay_core::Asker;
+use plantainquay_schema::{Changes, wire};
+use prost::Message as _;
+
+/// Largest answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 32 << 20;
+
+/// Asks the process at `source` for what is newer than `asker`; it answers within `wait` at the
+/// latest, as far as it can.
+///
+/// # Errors
+///
+/// Says why there is no answer that can be used.
+pub async fn fetch_changes(
+    client: &Client,
+    source: SocketAddr,
+    asker: Asker,
+    wait: Duration,
+) -> Result<Changes, String> {
+    let mut url = format!(
+        "http://{source}/v1/changes?generation={}&revision={}&wait_ms={}",
+        asker.generation,
+        asker.revision,
+        wait.as_millis()
+    );
+    if let Some(digest) = asker.routes_digest {
+        // Writing to a string never fails.
+        let _infallible = write!(url, "&routes={digest}");
+    }
+    let response = client.get(url).send().await;
+    let response = response.map_err(|error| error.to_string())?;
+    if response.status() != StatusCode::OK {
+        return Err(format!("status {}", response.status().as_u16()));
+    }
+    let body = response.body().limit(MAX_ANSWER_BYTES).await;
+    let body = body.map_err(|error| error.to_string())?;
+    let changes = wire::fleet::Changes::decode(body).map_err(|error| error.to_string())?;
+    Changes::try_from(changes).map_err(|faults| faults.to_string())
+}
--- a/crates/plantainquay_net/src/relay/carrier.rs
+++ b/crates/plantainquay_net/src/relay/carrier.rs
@@ -10,7 +10,7 @@
 use log::Level;
 use metrics::histogram;
 use plantainquay_core::relay::{Action, Actions, Note, Packet};
-use plantainquay_schema::{RelayBody, RelayMessage, RelaySettings};
+use plantainquay_schema::{RelayMessage, RelaySettings};
 use thiserror::Error;
 
 use super::PacketFormat;
@@ -134,7 +134,8 @@
         take_datagrams(&self.peer, |from, bytes| {
             match RelayMessage::decode(Bytes::copy_from_slice(bytes)) {
                 Ok(message) => {
-                    let packet = carried(&message.body).and_then(|b| (self.format.from_caller)(b));
+                    let packet = message.body.packet();
+                    let packet = packet.and_then(|bytes| (self.format.from_caller)(bytes));
                     self.carry_out(on_message(from, message, packet.as_ref()));
                 }
                 Err(error) => {
@@ -159,13 +160,16 @@
 
 /// Logs a decision with what it was based on.
 fn log_note(note: &Note) {
-    let agent = note.agent.map(|agent| agent.ip().to_string());
-    let agent = agent.unwrap_or_else(|| "none".to_owned());
+    let agent = note.agent.map(|agent| agent.ip());
+    let agent: &dyn std::fmt::Display = match &agent {
+        Some(ip) => ip,
+        None => &"none",
+    };
     let number = note.number.unwrap_or(0);
     let pairs: [(&str, &dyn std::fmt::Display); 6] = [
         ("caller", &note.tuple.source),
         ("listener", &note.tuple.destination),
-        ("agent", &agent),
+        ("agent", agent),
         ("number", &number),
         ("generation", &note.generation),
         ("revision", &note.revision),
@@ -178,15 +182,6 @@
     }
 }
 
-/// The packet inside a message.
-fn carried(body: &RelayBody) -> Option<&Bytes> {
-    match body {
-        RelayBody::Opening(opening) => Some(&opening.packet),
-        RelayBody::Established(packet) | RelayBody::Probe(packet) => Some(&packet.packet),
-        _ => None,
-    }
-}
-
 /// Takes datagrams for as long as the process lives.
 pub(super) fn take_datagrams(socket: &UdpSocket, on_datagram: impl Fn(SocketAddr, &[u8])) {
     let mut buf = [0; DATAGRAM_BYTES];
--- a/crates/plantainquay_net/src/relay/follow.rs
+++ b/crates/plantainquay_net/src/relay/follow.rs
@@ -1,20 +1,18 @@
 //! Follows the store, directly or through processes that read it on behalf of others.
 
-use std::fmt::{self, Write as _};
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use log::Level;
 use ntex::client::Client;
-use ntex::http::StatusCode;
 use ntex::time::{Millis, sleep, timeout};
 use plantainquay_core::relay::{Sources, sources};
 use plantainquay_core::{Fleet, Timestamp};
-use plantainquay_schema::{Changes, RelaySettings, wire};
-use prost::Message as _;
+use plantainquay_schema::{Changes, RelaySettings};
 
-use super::{FleetState, Freshness, StoreError, StoreReader};
+use super::{FleetState, Freshness, StoreError, StoreReader, fetch_changes};
 use crate::clock::pause;
 use crate::event;
 
@@ -44,9 +42,6 @@
 const RETRY_SOURCE: Duration = Duration::from_millis(300);
 /// Limit for the others, which hear from a source when the store is back.
 const RETRY_FOLLOWER: Duration = Duration::from_secs(5);
-/// Largest answer of another process, in bytes.
-const MAX_ANSWER_BYTES: usize = 32 << 20;
-
 /// Follows the store for as long as the process lives; runs on an ntex system.
 pub async fn follow(settings: RelaySettings, state: Arc<FleetState>, store: StoreReader) {
     let mut follower = Follower {
@@ -146,17 +141,8 @@
     /// Asks a source for changes; none when it doesn't answer.
     async fn ask(&self, source: SocketAddr, wait: Duration) -> Option<Changes> {
         let own = self.state.with(Fleet::as_asker);
-        let mut url = format!(
-            "http://{source}/v1/changes?generation={}&revision={}&wait_ms={}",
-            own.generation,
-            own.revision,
-            wait.as_millis()
-        );
-        if let Some(digest) = own.routes_digest {
-            // Writing to a string never fails.
-            let _infallible = write!(url, "&routes={digest}");
-        }
-        match timeout(wait + SOURCE_GRACE, self.fetch(&url)).await {
+        let answer = fetch_changes(&self.client, source, own, wait);
+        match timeout(wait + SOURCE_GRACE, answer).await {
             Ok(Ok(changes)) => Some(changes),
             Ok(Err(error)) => {
                 log_source_lost(source, &error);
@@ -169,18 +155,6 @@
         }
     }
 
-    async fn fetch(&self, url: &str) -> Result<Changes, String> {
-        let response = self.client.get(url).send().await;
-        let response = response.map_err(|error| error.to_string())?;
-        if response.status() != StatusCode::OK {
-            return Err(format!("status {}", response.status().as_u16()));
-        }
-        let body = response.body().limit(MAX_ANSWER_BYTES).await;
-        let body = body.map_err(|error| error.to_string())?;
-        let changes = wire::fleet::Changes::decode(body).map_err(|error| error.to_string())?;
-        Changes::try_from(changes).map_err(|faults| faults.to_string())
-    }
-
     /// Reads the store once, unless a failure was a moment ago: everything, or what has changed
     /// since the last read.
     async fn read_store(&mut self, longest_retry: Duration) {
--- a/crates/plantainquay_schema/src/relay.rs
+++ b/crates/plantainquay_schema/src/relay.rs
@@ -45,6 +45,22 @@
     Refused(FiveTuple),
 }
 
+impl RelayBody {
+    /// The packet that travels inside, if any.
+    #[must_use]
+    pub fn packet(&self) -> Option<&Bytes> {
+        match self {
+            Self::Opening(opening) => Some(&opening.packet),
+            Self::Established(carried) | Self::Probe(carried) => Some(&carried.packet),
+            Self::Accepted(_)
+            | Self::Located(_)
+            | Self::NotHeld(_)
+            | Self::Lost(_)
+            | Self::Refused(_) => None,
+        }
+    }
+}
+
 /// A packet that opens a flow, on its way to the upstream that takes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpeningPacket {
--- a/crates/plantainquay_schema/src/relay_settings.rs
+++ b/crates/plantainquay_schema/src/relay_settings.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use crate::settings::{check_address, check_log_level, default_to};
+use crate::settings::{check_address, check_log_level, check_name, default_to};
 use crate::{Faults, Name, ServiceId, wire, yaml};
 
 const DEFAULT_THREADS: u32 = 1;
@@ -84,8 +84,8 @@
 
 fn check(wire: &wire::relay_settings::RelaySettings, faults: &mut Faults) -> Option<RelaySettings> {
     let role = check_role(wire, faults);
-    faults.require(!wire.instance.is_empty(), "instance", "must be named");
-    faults.require(!wire.data_centre.is_empty(), "data_centre", "must be named");
+    let instance = check_name("instance", &wire.instance, faults);
+    let data_centre = check_name("data_centre", &wire.data_centre, faults);
     let packets = check_address("packets", &wire.packets, faults);
     let health = check_address("health", &wire.health, faults);
     let store = check_address("store", &wire.store, faults);
@@ -100,8 +100,8 @@
     let at = |port| SocketAddr::new(packets.ip(), port);
     Some(RelaySettings {
         role: role?,
-        instance: wire.instance.as_str().into(),
-        data_centre: wire.data_centre.as_str().into(),
+        instance,
+        data_centre,
         packets,
         health: health?,
         peer: at(peer_port?),
@@ -137,12 +137,12 @@
     wire: &wire::relay_settings::RelayAgent,
     faults: &mut Faults,
 ) -> Option<RelayAgentSettings> {
-    faults.require(!wire.service.is_empty(), "agent.service", "must be named");
+    let service = check_name("agent.service", &wire.service, faults);
     let upstream = check_address("agent.upstream", &wire.upstream, faults);
     let outbound = check_address("agent.outbound", &wire.outbound, faults);
     Some(RelayAgentSettings {
-        service: wire.service.as_str().into(),
-        service_id: ServiceId::of(&wire.service),
+        service_id: ServiceId::of(service.as_str()),
+        service,
         upstream: upstream?,
         outbound: outbound?,
     })
--- a/crates/plantainquay_schema/src/settings/check.rs
+++ b/crates/plantainquay_schema/src/settings/check.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::{AgentSettings, Key, KeyId, Platform, Role, Settings};
-use crate::{Faults, UpstreamNumber, wire};
+use crate::{Faults, Name, UpstreamNumber, wire};
 
 const DEFAULT_THREADS: u32 = 2;
 const DEFAULT_SHARDS: u32 = 16;
@@ -29,8 +29,8 @@
 
 fn check(wire: &wire::settings::Settings, faults: &mut Faults) -> Option<Settings> {
     let role = check_role(wire, faults);
-    faults.require(!wire.instance.is_empty(), "instance", "must be named");
-    faults.require(!wire.data_centre.is_empty(), "data_centre", "must be named");
+    let instance = check_name("instance", &wire.instance, faults);
+    let data_centre = check_name("data_centre", &wire.data_centre, faults);
     let tunnel = check_address("tunnel", &wire.tunnel, faults);
     let http = check_address("http", &wire.http, faults);
     let fabric = check_address("fabric", &wire.fabric, faults);
@@ -47,8 +47,8 @@
     let log_level = check_log_level(&wire.log_level, faults);
     Some(Settings {
         role: role?,
-        instance: wire.instance.as_str().into(),
-        data_centre: wire.data_centre.as_str().into(),
+        instance,
+        data_centre,
         tunnel: tunnel?,
         http: http?,
         fabric: fabric?,
@@ -81,12 +81,12 @@
 }
 
 fn check_agent(wire: &wire::settings::AgentSettings, faults: &mut Faults) -> Option<AgentSettings> {
-    faults.require(!wire.service.is_empty(), "agent.service", "must be named");
+    let service = check_name("agent.service", &wire.service, faults);
     let upstream = UpstreamNumber::new(wire.upstream);
     let reason = format!("must be 1 to {}", UpstreamNumber::MAX);
     faults.require(upstream.is_some(), "agent.upstream", reason);
     Some(AgentSettings {
-        service: wire.service.as_str().into(),
+        service,
         upstream: upstream?,
         max_half_open: default_to(wire.max_half_open, DEFAULT_MAX_HALF_OPEN) as usize,
         max_redirects: default_to(wire.max_redirects, DEFAULT_MAX_REDIRECTS) as usize,
@@ -136,6 +136,11 @@
     count as usize
 }
 
+pub(crate) fn check_name(path: &str, name: &str, faults: &mut Faults) -> Name {
+    faults.require(!name.is_empty(), path, "must be named");
+    name.into()
+}
+
 pub(crate) fn check_log_level(level: &str, faults: &mut Faults) -> &'static str {
     if level.is_empty() {
         return "info";
--- a/crates/plantainquay_trace/src/relay/world.rs
+++ b/crates/plantainquay_trace/src/relay/world.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use plantainquay_core::Timestamp;
 use plantainquay_core::relay::{Action, Actions, RelayPolicy};
-use plantainquay_schema::{Incarnation, RelayBody, UpstreamEntry};
+use plantainquay_schema::{Incarnation, UpstreamEntry};
 
 use super::RelayEvent;
 use super::codec::Wire;
@@ -241,13 +241,7 @@
                 agent.on_upstream_packet(now, &described, packet)
             }
             (Arrival::Message { from, message, .. }, _) => {
-                let packet = match &message.body {
-                    RelayBody::Opening(opening) => Some(describe(&opening.packet, false)),
-                    RelayBody::Established(carried) | RelayBody::Probe(carried) => {
-                        Some(describe(&carried.packet, false))
-                    }
-                    _ => None,
-                };
+                let packet = message.body.packet().map(|bytes| describe(bytes, false));
                 process.on_message(now, from, *message, packet.as_ref())
             }
             _ => Actions::new(),
--- a/crates/plantainquayctl/src/explain.rs
+++ b/crates/plantainquayctl/src/explain.rs
@@ -4,20 +4,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ntex::client::Client;
 use ntex::time::timeout;
 use plantainquay_core::relay::{CandidateState, RelayView, ServiceCandidates};
-use plantainquay_core::{FiveTuple, Fleet, Timestamp};
-use plantainquay_schema::{Changes, FlowId, Route, WeightedService, wire};
-use prost::Message as _;
+use plantainquay_core::{Asker, FiveTuple, Fleet, Timestamp};
+use plantainquay_net::relay::fetch_changes;
+use plantainquay_schema::{Changes, FlowId, Route, WeightedService};
 use serde_json::json;
 
-use crate::load::{UsageError, address};
+use crate::client::with_client;
+use crate::load::{UsageError, address, flow};
 use crate::{Answer, Report};
 
 const TIMEOUT: Duration = Duration::from_secs(3);
-/// Largest answer, in bytes.
-const MAX_ANSWER_BYTES: usize = 32 << 20;
 
 /// Asks a daemon for its routes and upstreams, and says what it would do with a flow.
 ///
@@ -26,10 +24,7 @@
 /// Fails when an address is not `ip:port`, or the daemon gives no answer.
 pub fn explain(daemon: &str, caller: &str, listener: &str) -> Result<Report, UsageError> {
     let daemon = address(daemon)?;
-    let tuple = FiveTuple {
-        source: address(caller)?,
-        destination: address(listener)?,
-    };
+    let tuple = flow(caller, listener)?;
     let changes = ask(daemon).ok_or(UsageError::NoAnswer(daemon))?;
     Ok(explain_flow(changes, tuple))
 }
@@ -143,18 +138,8 @@
 }
 
 fn ask(daemon: SocketAddr) -> Option<Changes> {
-    let system = ntex::rt::System::build()
-        .name("plantainquayctl")
-        .build(ntex::rt::DefaultRuntime);
-    system.block_on(async move {
-        let client = Client::new().await;
-        let url = format!("http://{daemon}/v1/changes?generation=0&revision=0&wait_ms=0");
-        let fetch = async {
-            let response = client.get(url).send().await.ok()?;
-            let body = response.body().limit(MAX_ANSWER_BYTES).await.ok()?;
-            let changes = wire::fleet::Changes::decode(body).ok()?;
-            Changes::try_from(changes).ok()
-        };
-        timeout(TIMEOUT, fetch).await.ok().flatten()
+    with_client(async move |client| {
+        let fetch = fetch_changes(&client, daemon, Asker::default(), Duration::ZERO);
+        timeout(TIMEOUT, fetch).await.ok()?.ok()
     })
 }
--- a/crates/plantainquayctl/src/lib.rs
+++ b/crates/plantainquayctl/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod check;
 mod cli;
+mod client;
 mod diff;
 mod digest;
 mod explain;
--- a/crates/plantainquayctl/src/load.rs
+++ b/crates/plantainquayctl/src/load.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use plantainquay_schema::{Document, Faults};
+use plantainquay_schema::{Document, Faults, FiveTuple};
 use thiserror::Error;
 
 /// A command that can't be carried out; exit code 2.
@@ -41,6 +41,14 @@
         .map_err(|_e| UsageError::Address(text.to_owned()))
 }
 
+/// Reads the addresses of a flow.
+pub(crate) fn flow(caller: &str, listener: &str) -> Result<FiveTuple, UsageError> {
+    Ok(FiveTuple {
+        source: address(caller)?,
+        destination: address(listener)?,
+    })
+}
+
 pub(crate) fn read(path: &Path) -> Result<String, UsageError> {
     fs::read_to_string(path).map_err(|error| UsageError::Read(path.display().to_string(), error))
 }
--- a/crates/plantainquayctl/src/routes.rs
+++ b/crates/plantainquayctl/src/routes.rs
@@ -2,12 +2,11 @@
 
 use std::path::Path;
 
-use plantainquay_core::FiveTuple;
 use plantainquay_platform::{parse_routes, parse_upstreams};
 use plantainquay_schema::{Changes, Faults, RouteDocument, UpstreamEntry};
 use serde_json::json;
 
-use crate::load::{UsageError, address, read};
+use crate::load::{UsageError, flow, read};
 use crate::{Answer, Report, explain_flow};
 
 /// Checks routes, and upstreams if they are given, and lists every fault.
@@ -37,10 +36,7 @@
     caller: &str,
     listener: &str,
 ) -> Result<Report, UsageError> {
-    let tuple = FiveTuple {
-        source: address(caller)?,
-        destination: address(listener)?,
-    };
+    let tuple = flow(caller, listener)?;
     let faulty = |path: &Path| {
         let path = path.display().to_string();
         move |faults| UsageError::Faults(path, faults)
--- a/crates/plantainquayctl/src/status.rs
+++ b/crates/plantainquayctl/src/status.rs
@@ -7,6 +7,7 @@
 use plantainquay_schema::wire::status::Status;
 use serde_json::json;
 
+use crate::client::with_client;
 use crate::load::{UsageError, address};
 use crate::{Answer, Report};
 
@@ -55,11 +56,7 @@
 }
 
 fn ask_all(addresses: Vec<SocketAddr>) -> Vec<(SocketAddr, Option<Status>)> {
-    let system = ntex::rt::System::build()
-        .name("plantainquayctl")
-        .build(ntex::rt::DefaultRuntime);
-    system.block_on(async move {
-        let client = Client::new().await;
+    with_client(async move |client| {
         let mut answers = Vec::with_capacity(addresses.len());
         for address in addresses {
             answers.push((address, ask(&client, address).await));
