--- a/examples/slopes/relay.rs
+++ b/examples/slopes/relay.rs
@@ -18,40 +18,34 @@
 const PEER_PORT: u16 = 7_720;
 /// Planned upstreams for each 1,000 planned addresses.
 const UPSTREAMS_PER_1000: u32 = 1_739;
-const CHANGES: u64 = 20;
+const CHANGES: u32 = 20;
 const DECISIONS: u16 = 10_000;
 
 /// A process that knows of so many addresses, and of the planned upstreams behind them.
 pub(crate) fn knowledge(addresses: u32, report: &mut Report) {
     let upstreams = addresses * UPSTREAMS_PER_1000 / 1_000;
-    let changes = whole(addresses, upstreams);
-    let body = wire::fleet::Changes::from(&changes).encode_to_vec();
-    report.add(
-        "relay, whole state",
-        addresses,
-        "MB",
-        megabytes(body.len() as u64),
-    );
     let empty = held_bytes();
+    let changes = whole(addresses, upstreams);
+    let bytes = wire::fleet::Changes::from(&changes).encoded_len() as u64;
+    report.add("relay, whole state", addresses, "MB", megabytes(bytes));
     let mut fleet = Fleet::default();
-    let timed = |report: &mut Report, what, work: &mut dyn FnMut()| {
+    let reads = [
+        ("relay, first read", changes.clone()),
+        ("relay, read anew", changes),
+    ];
+    for (what, changes) in reads {
         let start = Instant::now();
-        work();
+        fleet.apply(Timestamp(1), changes);
         report.add(what, addresses, "ms", millis(start.elapsed()));
-    };
-    let again = changes.clone();
-    timed(report, "relay, first read", &mut || {
-        fleet.apply(Timestamp(0), changes.clone());
-    });
-    drop(changes);
-    timed(report, "relay, read anew", &mut || {
-        fleet.apply(Timestamp(1), again.clone());
-    });
-    drop(again);
-    let mut view = RelayView::default();
-    timed(report, "relay, view built", &mut || {
-        view = RelayView::build(&fleet, Timestamp(2), PEER_PORT, &RelayView::default());
-    });
+    }
+    let start = Instant::now();
+    let mut view = RelayView::build(&fleet, Timestamp(2), PEER_PORT, &RelayView::default());
+    report.add(
+        "relay, view built",
+        addresses,
+        "ms",
+        millis(start.elapsed()),
+    );
     let held = held_bytes().saturating_sub(empty);
     report.add("relay, memory", addresses, "MB", megabytes(held));
     let mut apply = Duration::ZERO;
@@ -59,10 +53,10 @@
     let mut build = Duration::ZERO;
     let mut rank = Duration::ZERO;
     for change in 1..=CHANGES {
-        let now = Timestamp::from_millis(10 * change);
+        let now = Timestamp::from_millis(u64::from(10 * change));
         let asker = fleet.as_asker();
         let known = asker.revision;
-        let entry = entry(upstreams / 2, upstreams, known + 1);
+        let entry = entry(upstreams / 2, addresses, known + 1);
         let news = Changes {
             age: Some(Duration::ZERO),
             revision: known + 1,
@@ -84,7 +78,7 @@
         black_box(sources(&fleet, now, own, &Name::from("split"), PEER_PORT));
         rank += start.elapsed();
     }
-    let each = |total: Duration| millis(total) / 20.0;
+    let each = |total: Duration| millis(total / CHANGES);
     report.add("relay, one change applied", addresses, "ms", each(apply));
     report.add("relay, one asker answered", addresses, "ms", each(answer));
     report.add("relay, view of one change", addresses, "ms", each(build));
