--- a/crates/plantainquay_core/src/fleet.rs
+++ b/crates/plantainquay_core/src/fleet.rs
@@ -7,6 +7,7 @@
 mod departed;
 mod index;
 mod route_history;
+mod service_history;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
@@ -20,7 +21,10 @@
 pub use self::departed::Presence;
 use self::index::Index;
 use self::route_history::RouteHistory;
+use self::service_history::RoutesOrigin;
+pub use self::service_history::ServiceHistory;
 use crate::Timestamp;
+use crate::time::SignedTimestamp;
 
 /// Time for which a departure is kept, so that other processes can fetch it and lookups of open
 /// flows include the upstream.
@@ -32,6 +36,7 @@
     routes: Arc<RouteDocument>,
     routes_digest: u64,
     route_history: RouteHistory,
+    service_history: Arc<ServiceHistory>,
     revision: u64,
     upstreams: BTreeMap<Name, UpstreamRecord>,
     departed: HashMap<Name, DepartedUpstream>,
@@ -39,9 +44,7 @@
     /// Departures up to this revision may have been dropped.
     compacted_revision: u64,
     /// Latest time at which the replica was known to match the store.
-    ///
-    /// In microseconds of [`Timestamp`]; negative for a time before the process started.
-    confirmed_at_micros: Option<i64>,
+    confirmed_at: Option<SignedTimestamp>,
 }
 
 /// State of a replica, from which it requests changes.
@@ -53,6 +56,8 @@
     pub revision: u64,
     /// Digest of the routes; `None` if the process accepts only full documents.
     pub routes_digest: Option<u64>,
+    /// Time for which the process knows all former services; `None` if it knows none.
+    pub history_span: Option<Duration>,
 }
 
 /// Entry of an upstream and the end of its warm-up.
@@ -71,17 +76,44 @@
     pub routes: bool,
     /// True if upstreams were added, changed or removed.
     pub upstreams: bool,
+    /// True if former services of routes became known.
+    pub former_services: bool,
 }
 
 impl Fleet {
+    /// Sets the time after which callers and upstreams give up a flow.
+    #[must_use]
+    pub fn with_flow_ttl(mut self, flow_ttl: Duration) -> Self {
+        Arc::make_mut(&mut self.service_history).set_flow_ttl(flow_ttl);
+        self
+    }
+
+    /// Declares that no flow opened before this process started.
+    #[must_use]
+    pub fn without_earlier_flows(mut self) -> Self {
+        Arc::make_mut(&mut self.service_history).set_complete();
+        self
+    }
+
     /// Applies the changes that are newer than the replica.
     pub fn apply(&mut self, now: Timestamp, changes: Changes) -> AppliedChanges {
         let mut applied = AppliedChanges::default();
-        if let Some(routes) = changes.routes {
-            applied.routes = self.apply_routes(routes);
+        let history_since = self.service_history.complete_since();
+        let confirmed_at = self.confirmed_at;
+        let origin = self.routes_origin(changes.routes_complete_after);
+        for routes in changes.earlier_routes.into_iter().chain(changes.routes) {
+            applied.routes |= self.apply_routes(now, routes);
         }
         if let Some(changes) = changes.route_changes {
-            applied.routes |= self.apply_route_changes(changes);
+            applied.routes |= self.apply_route_changes(now, changes);
+        }
+        if applied.routes {
+            Arc::make_mut(&mut self.service_history).on_routes(now, origin);
+        }
+        if let Some(former) = changes.former_services {
+            let history = Arc::make_mut(&mut self.service_history);
+            applied.former_services =
+                history.merge(now, former, &self.routes, history_since, confirmed_at);
         }
         if changes.is_full {
             applied.upstreams |= self.remove_unlisted(now, changes.revision, &changes.upstreams);
@@ -103,19 +135,14 @@
         let Some(age) = age else {
             return;
         };
-        let age = i64::try_from(age.as_micros()).unwrap_or(i64::MAX);
-        let confirmed_at = now.0.cast_signed().saturating_sub(age);
-        self.confirmed_at_micros = self.confirmed_at_micros.max(Some(confirmed_at));
+        let confirmed_at = SignedTimestamp::before(now, age);
+        self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
     }
 
     /// Time since the replica was last confirmed to match the store; `None` if it never was.
     #[must_use]
     pub fn age(&self, now: Timestamp) -> Option<Duration> {
-        let micros = now
-            .0
-            .cast_signed()
-            .saturating_sub(self.confirmed_at_micros?);
-        Some(Duration::from_micros(u64::try_from(micros).unwrap_or(0)))
+        Some(self.confirmed_at?.age(now))
     }
 
     /// Returns all changes that are newer than `since`.
@@ -148,17 +175,21 @@
                 .map(|record| (*record.entry).clone())
                 .collect(),
             departures: departed.map(|(id, d)| d.as_departure(id)).collect(),
-            is_cut_off: false,
+            former_services: self
+                .service_history
+                .for_process(now, is_behind, since.history_span),
+            ..Changes::default()
         }
     }
 
     /// Version of this replica, with which it requests changes from another process.
     #[must_use]
-    pub fn version(&self) -> FleetVersion {
+    pub fn version(&self, now: Timestamp) -> FleetVersion {
         FleetVersion {
             generation: self.routes.generation,
             revision: self.revision,
             routes_digest: Some(self.routes_digest),
+            history_span: Some(self.service_history.span(now)),
         }
     }
 
@@ -179,6 +210,12 @@
         &self.routes
     }
 
+    /// Services that the routes named before.
+    #[must_use]
+    pub fn service_history(&self) -> &Arc<ServiceHistory> {
+        &self.service_history
+    }
+
     /// Store revision up to which the upstreams are complete.
     #[must_use]
     pub fn revision(&self) -> u64 {
@@ -230,7 +267,7 @@
         upstreams
     }
 
-    /// Drops expired departures; returns true if the set of upstreams has changed.
+    /// Drops expired departures and former services; returns true if a view must be rebuilt.
     ///
     /// `previous_call` is the time of the call before.
     pub fn expire(&mut self, now: Timestamp, previous_call: Timestamp) -> bool {
@@ -250,24 +287,39 @@
             }
             keep
         });
-        any_grace_period_ended || self.departed.len() != before
+        let mut any_service_expired = false;
+        if self.service_history.has_expired(now) {
+            any_service_expired = Arc::make_mut(&mut self.service_history).expire(now);
+        }
+        any_grace_period_ended || any_service_expired || self.departed.len() != before
+    }
+
+    fn routes_origin(&self, complete_after: Option<u64>) -> RoutesOrigin {
+        let is_first = self.routes.generation.0 == 0;
+        if is_first || complete_after.is_some_and(|revision| revision <= self.revision) {
+            RoutesOrigin::Consecutive
+        } else {
+            RoutesOrigin::Gap
+        }
     }
 
-    fn apply_routes(&mut self, routes: RouteDocument) -> bool {
+    fn apply_routes(&mut self, now: Timestamp, routes: RouteDocument) -> bool {
         if routes.generation <= self.routes.generation {
             return false;
         }
+        let changes = route_history::diff(&self.routes, &routes);
+        Arc::make_mut(&mut self.service_history).record(now, &self.routes, &changes);
         self.route_history
-            .record(&self.routes, self.routes_digest, &routes);
+            .record(changes, self.routes_digest, routes.routes.len());
         self.routes_digest = routes.digest();
         self.routes = Arc::new(routes);
         true
     }
 
-    fn apply_route_changes(&mut self, changes: RouteChanges) -> bool {
+    fn apply_route_changes(&mut self, now: Timestamp, changes: RouteChanges) -> bool {
         // Changes from another generation are ignored; the next request fetches matching ones.
         let follows = changes.from == self.routes.generation;
-        follows && self.apply_routes(route_history::apply(&self.routes, changes))
+        follows && self.apply_routes(now, route_history::apply(&self.routes, changes))
     }
 
     fn apply_entry(&mut self, now: Timestamp, entry: UpstreamEntry) -> bool {
--- a/crates/plantainquay_core/src/fleet/route_history.rs
+++ b/crates/plantainquay_core/src/fleet/route_history.rs
@@ -24,11 +24,11 @@
 }
 
 impl RouteHistory {
-    /// Records the change from `old` to `new`; a change too large to send clears the history.
-    pub(super) fn record(&mut self, old: &RouteDocument, from_digest: u64, new: &RouteDocument) {
-        let changes = diff(old, new);
+    /// Records changes that result in `route_count` routes; changes too large to send clear the
+    /// history.
+    pub(super) fn record(&mut self, changes: RouteChanges, from_digest: u64, route_count: usize) {
         let size = changes.put.len() + changes.removed.len();
-        if size >= new.routes.len().div_ceil(FULL_DOCUMENT_DIVISOR) {
+        if size >= route_count.div_ceil(FULL_DOCUMENT_DIVISOR) {
             return self.entries.clear();
         }
         self.entries.push_back(HistoryEntry {
@@ -69,7 +69,7 @@
 }
 
 /// Computes the changes from `old` to `new`.
-fn diff(old: &RouteDocument, new: &RouteDocument) -> RouteChanges {
+pub(super) fn diff(old: &RouteDocument, new: &RouteDocument) -> RouteChanges {
     let old_routes = by_listener(old);
     let new_routes = by_listener(new);
     let is_changed = |route: &&&Route| old_routes.get(&route.listener) != Some(*route);
--- a/crates/plantainquay_core/src/lib.rs
+++ b/crates/plantainquay_core/src/lib.rs
@@ -36,7 +36,7 @@
 mod time;
 
 pub use documents::{DocumentState, OfferOutcome};
-pub use fleet::{AppliedChanges, Fleet, FleetVersion, Presence, UpstreamRecord};
+pub use fleet::{AppliedChanges, Fleet, FleetVersion, Presence, ServiceHistory, UpstreamRecord};
 pub use packet::Segment;
 pub use plantainquay_schema::FiveTuple;
 pub use routes::{RouteMap, ServiceRoute};
--- a/crates/plantainquay_core/src/relay/action.rs
+++ b/crates/plantainquay_core/src/relay/action.rs
@@ -85,6 +85,9 @@
     /// The message is unexpected, or the flow is unknown here and can't be looked up.
     #[error("unknown_flow")]
     UnknownFlow,
+    /// No known service holds the flow, but it may be at one that isn't known or isn't asked.
+    #[error("unknown_service")]
+    UnknownService,
     /// The flow of the packet has ended.
     #[error("ended_flow")]
     EndedFlow,
--- a/crates/plantainquay_core/src/relay/agent/established.rs
+++ b/crates/plantainquay_core/src/relay/agent/established.rs
@@ -58,7 +58,12 @@
             // The holder is no longer listed, or two agents each regard the other as the holder.
             lookup::start_trial(cx, &mut shard, established, packet, None);
         }
-        FlowState::Lost => cx.send(established.balancer, RelayBody::Lost(packet.tuple)),
+        FlowState::Lost(loss) if lookup::is_still_lost(cx, loss) => {
+            lookup::send_lost(cx, packet.tuple, established.balancer, loss);
+        }
+        FlowState::Lost(_) => {
+            lookup::start_trial(cx, &mut shard, established, packet, None);
+        }
     }
 }
 
--- a/crates/plantainquay_core/src/relay/agent/flow.rs
+++ b/crates/plantainquay_core/src/relay/agent/flow.rs
@@ -69,7 +69,15 @@
     /// Another agent's upstream holds the flow.
     Remote(Holder),
     /// No upstream holds the flow.
-    Lost,
+    Lost(Loss),
+}
+
+/// Finding that no upstream holds a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Loss {
+    pub(super) found_at: Timestamp,
+    /// [`ServiceCandidates::revision`](crate::relay::ServiceCandidates::revision) at that time.
+    pub(super) upstreams_revision: u64,
 }
 
 /// The agent whose upstream holds a flow.
--- a/crates/plantainquay_core/src/relay/agent/lookup.rs
+++ b/crates/plantainquay_core/src/relay/agent/lookup.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use plantainquay_schema::{EstablishedPacket, FiveTuple, FlowId, RelayBody};
+use plantainquay_schema::{EstablishedPacket, FiveTuple, FlowId, LostFlow, RelayBody};
 use smallvec::SmallVec;
 
-use super::flow::{FlowEntry, FlowShard, FlowState, Holder, Lookup, PacketQueue, Trial};
+use super::flow::{FlowEntry, FlowShard, FlowState, Holder, Lookup, Loss, PacketQueue, Trial};
 use super::{Action, Context};
 use crate::relay::{Candidate, CandidateState, Decision, DropReason, Packet, ServiceCandidates};
 
@@ -209,9 +209,7 @@
     };
     match &mut entry.state {
         FlowState::LookingUp(lookup) => {
-            if cx.now.since(lookup.started_at) > DENIAL_WINDOW {
-                lookup.restart(cx.now);
-                send_probes(cx, lookup);
+            if restart_if_old(cx, lookup) {
                 shard.timers.schedule(cx.now + PROBE_INTERVAL, flow);
                 return;
             }
@@ -225,6 +223,16 @@
     }
 }
 
+/// Starts over if denials may have been sent more than [`DENIAL_WINDOW`] ago; returns true if so.
+fn restart_if_old(cx: &mut Context<'_>, lookup: &mut Lookup) -> bool {
+    let is_old = cx.now.since(lookup.started_at) > DENIAL_WINDOW;
+    if is_old {
+        lookup.restart(cx.now);
+        send_probes(cx, lookup);
+    }
+    is_old
+}
+
 /// Ends the lookup if every upstream has denied the flow.
 fn finish_if_denied(cx: &mut Context<'_>, entry: &mut FlowEntry) {
     let FlowState::LookingUp(lookup) = &entry.state else {
@@ -242,16 +250,38 @@
     if candidates.all().any(may_hold_flow) {
         return;
     }
+    let upstreams_revision = candidates.revision();
     let tuple = entry.tuple;
     let micros = cx.micros_since(lookup.started_at);
     cx.record_decision(tuple, Decision::LookupLost, None, micros);
-    entry.state = FlowState::Lost;
+    let loss = Loss {
+        found_at: cx.now,
+        upstreams_revision,
+    };
+    entry.state = FlowState::Lost(loss);
     cx.count(|c| c.lost_flows += 1);
     if let Some(balancer) = entry.balancer {
-        cx.send(balancer, RelayBody::Lost(tuple));
+        send_lost(cx, tuple, balancer, &loss);
     }
 }
 
+/// Returns true if no upstream was listed since a flow was found to be lost, and the finding is
+/// recent.
+pub(super) fn is_still_lost(cx: &Context<'_>, loss: &Loss) -> bool {
+    let revision = cx.candidates().map(ServiceCandidates::revision);
+    let is_recent = cx.now.since(loss.found_at) < DENIAL_WINDOW;
+    is_recent && revision == Some(loss.upstreams_revision)
+}
+
+/// Notifies a balancer that no upstream of the service holds a flow.
+pub(super) fn send_lost(cx: &mut Context<'_>, tuple: FiveTuple, balancer: SocketAddr, loss: &Loss) {
+    let flow = LostFlow {
+        tuple,
+        upstreams_revision: Some(loss.upstreams_revision),
+    };
+    cx.send(balancer, RelayBody::Lost(flow));
+}
+
 /// Ends trials without a returned packet, and continues unanswered lookups.
 pub(super) fn on_tick(cx: &mut Context<'_>, shard: &mut FlowShard) {
     let mut rescheduled: SmallVec<[FlowId; 4]> = SmallVec::new();
@@ -261,6 +291,11 @@
                 end_trial(cx, entry, FlowState::Presumed);
             }
             FlowState::LookingUp(lookup) => {
+                // Ticks are this late after a pause of the process.
+                if restart_if_old(cx, lookup) {
+                    rescheduled.push(entry.tuple.flow_id());
+                    continue;
+                }
                 if lookup.rounds < MAX_PROBE_ROUNDS {
                     send_probes(cx, lookup);
                     rescheduled.push(entry.tuple.flow_id());
--- a/crates/plantainquay_core/src/relay/agent/upstream.rs
+++ b/crates/plantainquay_core/src/relay/agent/upstream.rs
@@ -48,7 +48,7 @@
         FlowState::Closing | FlowState::Offered(_) => {
             lookup::start_lookup(cx, entry, bytes, PacketQueue::new());
         }
-        FlowState::LookingUp(_) | FlowState::Remote(_) | FlowState::Lost => {
+        FlowState::LookingUp(_) | FlowState::Remote(_) | FlowState::Lost(_) => {
             cx.actions.push(Action::Drop(DropReason::UnknownFlow));
         }
     }
--- a/crates/plantainquay_core/src/relay/balancer.rs
+++ b/crates/plantainquay_core/src/relay/balancer.rs
@@ -2,6 +2,7 @@
 
 mod cache;
 mod event;
+mod search;
 mod suspects;
 
 use std::net::SocketAddr;
@@ -52,6 +53,10 @@
     pub cached_flow_packets: u64,
     /// Packets of open flows sent to the flow's owner.
     pub owner_packets: u64,
+    /// Further services asked about a flow that one service has denied.
+    pub further_services_asked: u64,
+    /// Packets dropped because their flow may be at a service that is unknown here.
+    pub undetermined_packets: u64,
     /// Flows reset because no route matches or no upstream accepts or holds them.
     pub reset_flows: u64,
     /// Packets to an address without a route.
@@ -89,7 +94,7 @@
     /// Handles a packet from a caller.
     ///
     /// `view_age` returns the time since the routes were last confirmed to match the store; it is
-    /// called only for packets without a route.
+    /// called only for packets without a route and for flows that aren't in the cache.
     pub fn on_packet(
         &self,
         now: Timestamp,
@@ -106,19 +111,25 @@
         if packet.is_opening() {
             cx.on_opening(route, packet, bytes);
         } else {
-            cx.on_established(route, packet, bytes);
+            cx.on_established(view_age, route, packet, bytes);
         }
         cx.actions
     }
 
-    /// Handles a message from an agent.
-    pub fn on_message(&self, now: Timestamp, from: SocketAddr, message: &RelayMessage) -> Actions {
+    /// Handles a message from an agent; `view_age` is called only for flows that a service denies.
+    pub fn on_message(
+        &self,
+        now: Timestamp,
+        view_age: impl FnOnce() -> Option<Duration>,
+        from: SocketAddr,
+        message: &RelayMessage,
+    ) -> Actions {
         self.suspects.lock().remove(from);
         let mut cx = Context::new(self, now);
         match message.body {
-            RelayBody::Accepted(tuple) => cx.on_accepted(from, tuple),
-            RelayBody::Located(tuple) => cx.on_located(from, tuple),
-            RelayBody::Lost(tuple) => cx.on_lost(message.service, tuple),
+            RelayBody::Accepted(tuple) => cx.on_accepted(from, message.service, tuple),
+            RelayBody::Located(tuple) => cx.on_located(from, message.service, tuple),
+            RelayBody::Lost(lost) => cx.on_lost(view_age, message.service, lost),
             RelayBody::Refused(tuple) => cx.on_refused(tuple),
             _ => cx.actions.push(Action::Drop(DropReason::UnknownFlow)),
         }
--- a/crates/plantainquay_core/src/relay/balancer/cache.rs
+++ b/crates/plantainquay_core/src/relay/balancer/cache.rs
@@ -8,11 +8,18 @@
 use plantainquay_schema::{FiveTuple, FlowId, ServiceId};
 use smallvec::SmallVec;
 
+use super::search::ServiceSearch;
 use crate::Timestamp;
 use crate::relay::flow_timers::FlowTimers;
 
 /// Idle time after which a flow is removed; its owner can still locate it.
 const CACHE_TTL: Duration = Duration::from_secs(20);
+/// Time for which the first packet of a flow without a route is remembered.
+const UNROUTED_TTL: Duration = Duration::from_secs(5);
+/// Maximum number of packets in a shard whose flows are searched; the caller retransmits others.
+const MAX_HELD_PACKETS: usize = 256;
+/// Maximum number of flows without a route in a shard; packets of others are dropped.
+const MAX_UNROUTED_FLOWS: usize = 1_024;
 /// Maximum number of flows in a shard, which bounds memory under a flood of opening packets.
 const MAX_FLOWS: usize = 16_384;
 
@@ -20,6 +27,10 @@
 #[derive(Debug, Default)]
 pub(super) struct CacheShard {
     flows: HashMap<FlowId, CacheEntry>,
+    /// The last packet of each flow whose service is searched.
+    held_packets: HashMap<FlowId, Bytes>,
+    /// First packet of each flow without a route.
+    unrouted: HashMap<FlowId, Timestamp>,
     /// Retry timers of opening packets.
     pub(super) timers: FlowTimers,
 }
@@ -34,8 +45,8 @@
     pub(super) caller_ack: u32,
     /// The opening packet, until an upstream accepts it.
     pub(super) pending: Option<PendingOpening>,
-    /// Services all of whose upstreams have denied the flow.
-    pub(super) denied_services: SmallVec<[ServiceId; 1]>,
+    /// Search for the flow's service, until an upstream has claimed the flow.
+    pub(super) search: Option<Box<ServiceSearch>>,
 }
 
 /// An unanswered opening packet.
@@ -65,7 +76,27 @@
             last_packet_at: now,
             caller_ack: 0,
             pending: None,
-            denied_services: SmallVec::new(),
+            search: None,
+        }
+    }
+
+    /// Records a packet of the caller, which has accepted an upstream's answer.
+    pub(super) fn on_caller_packet(&mut self, now: Timestamp, ack: u32) {
+        self.last_packet_at = now;
+        self.pending = None;
+        self.caller_ack = ack;
+    }
+
+    /// Returns true if the search for the flow's service continues or starts over with this packet.
+    pub(super) fn needs_search(&self, now: Timestamp) -> bool {
+        let search = self.search.as_ref();
+        search.is_some_and(|search| search.awaits_packet() || search.is_over(now))
+    }
+
+    pub(super) fn with_search(self, search: Box<ServiceSearch>) -> Self {
+        Self {
+            search: Some(search),
+            ..self
         }
     }
 
@@ -93,6 +124,36 @@
 
     pub(super) fn remove(&mut self, flow: FlowId) {
         self.flows.remove(&flow);
+        self.release_packet(flow);
+    }
+
+    /// Holds the last packet of a flow whose service is searched, unless too many are held.
+    pub(super) fn hold_packet(&mut self, flow: FlowId, packet: Bytes) {
+        if self.held_packets.len() < MAX_HELD_PACKETS || self.held_packets.contains_key(&flow) {
+            self.held_packets.insert(flow, packet);
+        }
+    }
+
+    /// Returns the packet that is held for a flow.
+    pub(super) fn held_packet(&self, flow: FlowId) -> Option<Bytes> {
+        self.held_packets.get(&flow).cloned()
+    }
+
+    /// Drops the packet that is held for a flow.
+    pub(super) fn release_packet(&mut self, flow: FlowId) {
+        self.held_packets.remove(&flow);
+    }
+
+    /// Returns the time of the first packet of a flow without a route; `None` if too many are
+    /// known.
+    pub(super) fn first_unrouted_packet_at(
+        &mut self,
+        now: Timestamp,
+        flow: FlowId,
+    ) -> Option<Timestamp> {
+        let is_known = self.unrouted.contains_key(&flow);
+        let has_room = is_known || self.unrouted.len() < MAX_UNROUTED_FLOWS;
+        has_room.then(|| *self.unrouted.entry(flow).or_insert(now))
     }
 
     /// Returns the next flow with an expired retry timer.
@@ -104,5 +165,10 @@
     pub(super) fn expire(&mut self, now: Timestamp) {
         self.flows
             .retain(|_, entry| now.since(entry.last_packet_at) < CACHE_TTL);
+        self.unrouted
+            .retain(|_, first_packet_at| now.since(*first_packet_at) < UNROUTED_TTL);
+        let flows = &self.flows;
+        self.held_packets
+            .retain(|flow, _| flows.get(flow).is_some_and(|e| e.search.is_some()));
     }
 }
--- a/crates/plantainquay_core/src/relay/balancer/event.rs
+++ b/crates/plantainquay_core/src/relay/balancer/event.rs
@@ -6,17 +6,18 @@
 
 use bytes::Bytes;
 use plantainquay_schema::{
-    EstablishedPacket, FiveTuple, FlowId, OpeningPacket, RelayBody, RelayMessage, Route, ServiceId,
-    VisitedAgents,
+    EstablishedPacket, FiveTuple, FlowId, LostFlow, OpeningPacket, RelayBody, RelayMessage, Route,
+    ServiceId, VisitedAgents,
 };
 use smallvec::smallvec;
 
 use super::cache::{CacheEntry, PendingOpening};
+use super::search::{MAX_VIEW_AGE, SearchInput, SearchStep, ServiceSearch};
 use super::{BalancerCounters, RelayBalancer};
 use crate::Timestamp;
 use crate::relay::{
     Action, Actions, Candidate, CandidateState, Decision, DropReason, Packet, RelayView,
-    ResetReason,
+    ResetReason, ServiceCandidates,
 };
 
 /// Time after which a caller without an answer may have retransmitted through another balancer.
@@ -24,9 +25,6 @@
 /// Maximum number of agents to which an opening packet is sent before the caller retransmits it.
 const MAX_OPENING_ATTEMPTS: usize = 3;
 
-/// Maximum age of the view at which a missing route counts as nonexistent.
-const MAX_VIEW_AGE: Duration = Duration::from_secs(4);
-
 /// State shared by the decisions on one event.
 pub(super) struct Context<'a> {
     balancer: &'a RelayBalancer,
@@ -51,14 +49,33 @@
             self.count(|c| c.no_view_packets += 1);
             return self.actions.push(Action::Drop(DropReason::NoView));
         }
+        // A packet that was read after a pause may be older than its retransmissions.
+        let may_be_open = !packet.is_opening()
+            || packet.is_retransmitted_opening()
+            || self.balancer.pause_detector.was_paused(self.now);
+        if may_be_open && !self.is_confirmed_since_first_packet(view_age, packet) {
+            // The flow may have opened on a route that this process doesn't have yet.
+            self.count(|c| c.no_view_packets += 1);
+            return self.actions.push(Action::Drop(DropReason::NoView));
+        }
         self.count(|c| c.unrouted_packets += 1);
         self.reset(packet.tuple, packet.ack, ResetReason::NoRoute);
     }
 
+    /// Returns true if the view matched the store after the first packet of an unrouted flow.
+    fn is_confirmed_since_first_packet(&self, view_age: Option<Duration>, packet: &Packet) -> bool {
+        let mut shard = self.balancer.shard(packet.tuple.flow_id());
+        let first_packet_at = shard.first_unrouted_packet_at(self.now, packet.tuple.flow_id());
+        let elapsed = first_packet_at.map(|at| self.now.since(at));
+        elapsed.is_some_and(|elapsed| view_age.is_some_and(|age| age <= elapsed))
+    }
+
     pub(super) fn on_opening(&mut self, route: &Route, packet: &Packet, bytes: Bytes) {
         let flow = packet.tuple.flow_id();
         let mut shard = self.balancer.shard(flow);
-        if let Some(entry) = shard.get_mut(flow, &packet.tuple) {
+        let known = shard.get_mut(flow, &packet.tuple);
+        let is_lost = |entry: &CacheEntry| entry.search.as_ref().is_some_and(|s| s.has_ended());
+        if let Some(entry) = known.filter(|entry| !is_lost(entry)) {
             let is_usable = self.is_listed(entry.service, entry.agent)
                 && !self
                     .balancer
@@ -100,87 +117,157 @@
         self.send_opening(service, agent, bytes, false);
     }
 
-    pub(super) fn on_established(&mut self, route: &Route, packet: &Packet, bytes: Bytes) {
+    pub(super) fn on_established(
+        &mut self,
+        view_age: impl FnOnce() -> Option<Duration>,
+        route: &Route,
+        packet: &Packet,
+        bytes: Bytes,
+    ) {
         let flow = packet.tuple.flow_id();
         let mut shard = self.balancer.shard(flow);
-        let (service, agent) = match shard.get_mut(flow, &packet.tuple) {
-            Some(entry) if self.is_listed(entry.service, entry.agent) => {
-                entry.last_packet_at = self.now;
-                entry.pending = None;
-                entry.caller_ack = packet.ack;
+        let mut search = None;
+        let mut last_service = None;
+        if let Some(entry) = shard.get_mut(flow, &packet.tuple) {
+            entry.on_caller_packet(self.now, packet.ack);
+            let search_state = entry.search.as_ref();
+            if search_state.is_some_and(|s| s.has_ended_recently(self.now)) {
+                return self.reset(packet.tuple, packet.ack, ResetReason::UnknownFlow);
+            }
+            let (service, agent) = (entry.service, entry.agent);
+            if !entry.needs_search(self.now) && self.is_listed(service, agent) {
                 self.count(|c| c.cached_flow_packets += 1);
-                (entry.service, entry.agent)
+                if let Some(search) = &mut entry.search {
+                    search.on_packet();
+                    shard.hold_packet(flow, bytes.clone());
+                }
+                return self.send_established(service, agent, bytes);
             }
-            _ => {
-                let Some(service) = RelayView::choose_service(route, flow).map(|s| s.id) else {
-                    return self.actions.push(Action::Drop(DropReason::NoUpstream));
-                };
-                let Some(owner) = self.owner(service, flow) else {
-                    return self.actions.push(Action::Drop(DropReason::NoUpstream));
-                };
+            last_service = Some(service);
+            search = entry.search.take().filter(|s| !s.is_over(self.now));
+        }
+        let mut search = search.unwrap_or_else(|| Box::new(ServiceSearch::new(self.now)));
+        search.on_packet();
+        let view = Arc::clone(&self.view);
+        let step = search.next_step(&SearchInput {
+            now: self.now,
+            view: &view,
+            view_age: view_age(),
+            route,
+            flow,
+            last_service,
+        });
+        match step {
+            SearchStep::Ask(service, owner) => {
                 let mut entry = CacheEntry::new(self.now, packet.tuple, service, owner);
-                entry.caller_ack = packet.ack;
-                shard.insert(flow, entry);
+                entry.on_caller_packet(self.now, packet.ack);
+                shard.insert(flow, entry.with_search(search));
+                shard.hold_packet(flow, bytes.clone());
                 self.count(|c| c.owner_packets += 1);
                 self.record_decision(packet.tuple, Decision::SentToOwner, owner, None);
-                (service, owner)
+                self.send_established(service, owner, bytes);
             }
-        };
-        self.send_established(service, agent, bytes);
+            SearchStep::NotHeld => {
+                self.reset(packet.tuple, packet.ack, ResetReason::UnknownFlow);
+            }
+            SearchStep::AwaitPacket | SearchStep::Undetermined => {
+                if let Some(entry) = shard.get_mut(flow, &packet.tuple) {
+                    entry.search = Some(search);
+                }
+                self.drop_undetermined();
+            }
+        }
     }
 
     /// Handles the acceptance of a flow. If several upstreams accept one opening packet, the caller
     /// most likely uses the first answer.
-    pub(super) fn on_accepted(&mut self, from: SocketAddr, tuple: FiveTuple) {
+    pub(super) fn on_accepted(&mut self, from: SocketAddr, service: ServiceId, tuple: FiveTuple) {
         let flow = tuple.flow_id();
         let mut shard = self.balancer.shard(flow);
         if let Some(entry) = shard.get_mut(flow, &tuple)
             && entry.pending.take().is_some()
         {
+            entry.service = service;
             entry.agent = from;
         }
     }
 
-    pub(super) fn on_located(&mut self, from: SocketAddr, tuple: FiveTuple) {
+    pub(super) fn on_located(&mut self, from: SocketAddr, service: ServiceId, tuple: FiveTuple) {
         let flow = tuple.flow_id();
         let mut shard = self.balancer.shard(flow);
         let Some(entry) = shard.get_mut(flow, &tuple) else {
             return;
         };
         entry.pending = None;
+        entry.service = service;
         entry.agent = from;
+        entry.search = None;
+        shard.release_packet(flow);
     }
 
-    /// Switches a lost flow to the route's next service, or resets it after the last.
-    pub(super) fn on_lost(&mut self, service: ServiceId, tuple: FiveTuple) {
+    /// Asks the next service about a flow that one service has denied, or ends the search.
+    pub(super) fn on_lost(
+        &mut self,
+        view_age: impl FnOnce() -> Option<Duration>,
+        service: ServiceId,
+        lost: LostFlow,
+    ) {
+        let tuple = lost.tuple;
         let flow = tuple.flow_id();
         let view = Arc::clone(&self.view);
+        let own_revision = view.service(service).map_or(0, ServiceCandidates::revision);
+        let revision = lost.upstreams_revision.unwrap_or(own_revision);
+        if revision < own_revision {
+            // The agent doesn't know every upstream yet; the caller's next packet asks again.
+            return self.actions.push(Action::Drop(DropReason::UnknownFlow));
+        }
         let Some(route) = view.route(tuple.destination) else {
             return;
         };
         let mut shard = self.balancer.shard(flow);
-        let Some(entry) = shard.get_mut(flow, &tuple) else {
+        let entry = shard.get_mut(flow, &tuple);
+        let Some(entry) = entry.filter(|entry| entry.service == service) else {
             return;
         };
-        if entry.service != service {
+        let new_search = || Box::new(ServiceSearch::new(self.now));
+        let search = entry.search.get_or_insert_with(new_search);
+        if search.has_ended() {
             return;
         }
-        entry.denied_services.push(service);
-        let next_service = route
-            .services
-            .iter()
-            .map(|s| s.id)
-            .find(|id| !entry.denied_services.contains(id));
-        let owner = next_service.and_then(|id| Some((id, self.owner(id, flow)?)));
-        if let Some((service, owner)) = owner {
-            // The caller's retransmission is then sent to the new owner.
-            entry.service = service;
-            entry.agent = owner;
-            return;
+        search.on_denied(self.now, service, revision);
+        let step = search.next_step(&SearchInput {
+            now: self.now,
+            view: &view,
+            view_age: view_age(),
+            route,
+            flow,
+            last_service: None,
+        });
+        let denials = search.denial_count();
+        match step {
+            SearchStep::Ask(service, owner) => {
+                entry.service = service;
+                entry.agent = owner;
+                self.count(|c| c.further_services_asked += 1);
+                self.record_decision(tuple, Decision::FurtherServiceAsked, owner, Some(denials));
+                if let Some(packet) = shard.held_packet(flow) {
+                    self.send_established(service, owner, packet);
+                }
+            }
+            SearchStep::AwaitPacket => {}
+            SearchStep::Undetermined => self.drop_undetermined(),
+            SearchStep::NotHeld => {
+                let ack = entry.caller_ack;
+                shard.release_packet(flow);
+                self.reset(tuple, ack, ResetReason::UnknownFlow);
+            }
         }
-        let ack = entry.caller_ack;
-        shard.remove(flow);
-        self.reset(tuple, ack, ResetReason::UnknownFlow);
+    }
+
+    /// Drops a packet whose flow may be at a service that isn't known or asked.
+    fn drop_undetermined(&mut self) {
+        self.count(|c| c.undetermined_packets += 1);
+        self.actions.push(Action::Drop(DropReason::UnknownService));
     }
 
     pub(super) fn on_refused(&mut self, tuple: FiveTuple) {
@@ -240,11 +327,6 @@
         candidate.is_some_and(|c| c.state != CandidateState::Former)
     }
 
-    fn owner(&self, service: ServiceId, flow: FlowId) -> Option<SocketAddr> {
-        let owner = self.view.service(service)?.owner(flow)?;
-        Some(owner.agent)
-    }
-
     /// Selects the agent to which an opening packet is sent first.
     fn first_agent(&self, service: ServiceId, flow: FlowId) -> Option<SocketAddr> {
         let candidates = self.view.service(service)?;
--- /dev/null
+++ b/crates/plantainquay_core/src/relay/balancer/search.rs
@@ -0,0 +1,219 @@
+//! Search for the service at which an open flow is.
+//!
+//! A flow stays at the service that its route named when it opened. A balancer that doesn't have
+//! the flow in its cache asks the owner in one service after another: first in those that the route
+//! names, then in those that it named before. A balancer that may not know all of the latter, since
+//! it or its sources started after a change, asks the remaining services too if they are few. The
+//! flow is reset only when no service is left that could hold it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use plantainquay_schema::{FlowId, Route, ServiceId};
+use smallvec::SmallVec;
+
+use crate::Timestamp;
+use crate::relay::RelayView;
+
+/// Maximum number of services that are asked for one packet; the search continues with the caller's
+/// next packet.
+const MAX_SERVICES_PER_PACKET: usize = 4;
+/// Maximum number of services that are asked although the route isn't known to have named them.
+const MAX_UNNAMED_SERVICES: usize = 16;
+/// Time for which further packets of a flow that no upstream holds are answered without a search.
+const RESULT_TTL: Duration = Duration::from_secs(1);
+/// Time for which the denial of a service is valid; the store may list an upstream again that the
+/// service's agents didn't know.
+const DENIAL_TTL: Duration = Duration::from_secs(1);
+/// Time after which a search that hasn't found the flow starts over.
+const SEARCH_TTL: Duration = Duration::from_secs(5);
+/// Age of the view above which upstreams may exist that it doesn't list.
+pub(super) const MAX_VIEW_AGE: Duration = Duration::from_secs(4);
+
+/// Services that were asked about a flow.
+#[derive(Debug)]
+pub(super) struct ServiceSearch {
+    /// Time of the first packet.
+    started_at: Timestamp,
+    /// Services all of whose upstreams have denied the flow.
+    denials: SmallVec<[Denial; 2]>,
+    /// Services asked since the caller's last packet.
+    asked: usize,
+    /// True if the search continues with the caller's next packet.
+    awaits_packet: bool,
+    /// Time at which the search ended because no upstream holds the flow.
+    ended_at: Option<Timestamp>,
+}
+
+/// Denial of a flow by all upstreams of a service.
+#[derive(Clone, Copy, Debug)]
+struct Denial {
+    service: ServiceId,
+    received_at: Timestamp,
+    /// Highest store revision of these upstreams; a later one may hold the flow.
+    upstreams_revision: u64,
+}
+
+/// Next step of a search.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SearchStep {
+    /// Send the packet to the flow's owner in a service.
+    Ask(ServiceId, SocketAddr),
+    /// Wait for the caller's next packet.
+    AwaitPacket,
+    /// Wait as well, since the flow may be at a service that this process doesn't know or ask.
+    Undetermined,
+    /// Reset the flow: no upstream holds it.
+    NotHeld,
+}
+
+/// What a search depends on.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SearchInput<'a> {
+    pub(super) now: Timestamp,
+    pub(super) view: &'a RelayView,
+    /// Time since the view was last confirmed; `None` if it never was.
+    pub(super) view_age: Option<Duration>,
+    pub(super) route: &'a Route,
+    pub(super) flow: FlowId,
+    /// Service at which the flow was last.
+    pub(super) last_service: Option<ServiceId>,
+}
+
+impl ServiceSearch {
+    pub(super) fn new(now: Timestamp) -> Self {
+        Self {
+            started_at: now,
+            denials: SmallVec::new(),
+            asked: 0,
+            awaits_packet: false,
+            ended_at: None,
+        }
+    }
+
+    /// Records a packet of the caller, for which services may be asked.
+    pub(super) fn on_packet(&mut self) {
+        self.asked = 0;
+        self.awaits_packet = false;
+    }
+
+    /// Records that no upstream of a service holds the flow.
+    pub(super) fn on_denied(
+        &mut self,
+        now: Timestamp,
+        service: ServiceId,
+        upstreams_revision: u64,
+    ) {
+        self.denials.retain(|denial| denial.service != service);
+        self.denials.push(Denial {
+            service,
+            received_at: now,
+            upstreams_revision,
+        });
+    }
+
+    /// Returns true if the search continues with the caller's next packet.
+    pub(super) fn awaits_packet(&self) -> bool {
+        self.awaits_packet
+    }
+
+    /// Number of services that have denied the flow.
+    pub(super) fn denial_count(&self) -> u64 {
+        self.denials.len() as u64
+    }
+
+    /// Returns true if the search has ended because no upstream holds the flow.
+    pub(super) fn has_ended(&self) -> bool {
+        self.ended_at.is_some()
+    }
+
+    /// Returns true if the search has ended so recently that no upstream holds the flow now.
+    pub(super) fn has_ended_recently(&self, now: Timestamp) -> bool {
+        self.ended_at
+            .is_some_and(|ended_at| now.since(ended_at) < RESULT_TTL)
+    }
+
+    /// Returns true if the next packet starts a new search.
+    pub(super) fn is_over(&self, now: Timestamp) -> bool {
+        self.has_ended() || now.since(self.started_at) >= SEARCH_TTL
+    }
+
+    /// Determines the next step and records it.
+    pub(super) fn next_step(&mut self, input: &SearchInput<'_>) -> SearchStep {
+        self.denials.retain(|denial| denial.is_valid(input));
+        let step = self.choose_step(input);
+        match step {
+            SearchStep::Ask(..) => self.asked += 1,
+            SearchStep::AwaitPacket | SearchStep::Undetermined => self.awaits_packet = true,
+            SearchStep::NotHeld => self.ended_at = Some(input.now),
+        }
+        step
+    }
+
+    fn choose_step(&self, input: &SearchInput<'_>) -> SearchStep {
+        let known = input
+            .view
+            .services_of_open_flow(input.now, input.route, input.flow);
+        let known = input.last_service.into_iter().chain(known);
+        if let Some(step) = self.ask_first(input, known) {
+            return step;
+        }
+        // The route as it was at the first packet is known, and so are the former services.
+        let is_confirmed_since_start = is_confirmed_since(input, self.started_at);
+        let knows_services =
+            input.view.service_history().is_complete(input.now) && is_confirmed_since_start;
+        if !knows_services {
+            let is_unasked = |service: &ServiceId| !self.is_denied_by(*service);
+            let mut unnamed: SmallVec<[ServiceId; 4]> =
+                input.view.service_ids().filter(is_unasked).collect();
+            if unnamed.len() + self.denials.len() > MAX_UNNAMED_SERVICES {
+                return SearchStep::Undetermined;
+            }
+            unnamed.sort_unstable();
+            if let Some(step) = self.ask_first(input, unnamed.into_iter()) {
+                return step;
+            }
+        }
+        let is_recent = input.view_age.is_some_and(|age| age <= MAX_VIEW_AGE);
+        if input.view.is_complete() && is_recent {
+            SearchStep::NotHeld
+        } else {
+            SearchStep::Undetermined
+        }
+    }
+
+    fn is_denied_by(&self, service: ServiceId) -> bool {
+        self.denials.iter().any(|denial| denial.service == service)
+    }
+
+    /// Asks the first service that has upstreams and hasn't denied the flow; `None` without one.
+    fn ask_first(
+        &self,
+        input: &SearchInput<'_>,
+        services: impl Iterator<Item = ServiceId>,
+    ) -> Option<SearchStep> {
+        let mut unasked = services.filter(|service| !self.is_denied_by(*service));
+        let (service, owner) = unasked.find_map(|service| {
+            let owner = input.view.service(service)?.owner(input.flow)?;
+            Some((service, owner.agent))
+        })?;
+        if self.asked >= MAX_SERVICES_PER_PACKET {
+            return Some(SearchStep::AwaitPacket);
+        }
+        Some(SearchStep::Ask(service, owner))
+    }
+}
+
+impl Denial {
+    fn is_valid(&self, input: &SearchInput<'_>) -> bool {
+        let is_recent = input.now.since(self.received_at) < DENIAL_TTL;
+        let candidates = input.view.service(self.service);
+        is_recent && candidates.is_none_or(|c| c.revision() <= self.upstreams_revision)
+    }
+}
+
+/// Returns true if the view matched the store at `time` or later.
+fn is_confirmed_since(input: &SearchInput<'_>, time: Timestamp) -> bool {
+    let elapsed = input.now.since(time);
+    input.view_age.is_some_and(|age| age <= elapsed)
+}
--- a/crates/plantainquay_core/src/relay/decision.rs
+++ b/crates/plantainquay_core/src/relay/decision.rs
@@ -49,6 +49,10 @@
     /// A balancer has no cache entry for a flow and sent its packet to the owner.
     #[error("owner_asked")]
     SentToOwner,
+    /// A balancer sent the packet of a flow that one service denied to another (services that
+    /// denied it).
+    #[error("further_service_asked")]
+    FurtherServiceAsked,
     /// An agent probed the others for a flow whose packet its upstream returned (agents probed).
     #[error("lookup_started")]
     LookupStarted,
--- a/crates/plantainquay_core/src/relay/view.rs
+++ b/crates/plantainquay_core/src/relay/view.rs
@@ -12,7 +12,7 @@
 
 use super::{Action, Decision, DecisionRecord};
 use crate::rendezvous::{splitmix64, weighted_score};
-use crate::{Fleet, Presence, Timestamp, UpstreamRecord};
+use crate::{Fleet, Presence, ServiceHistory, Timestamp, UpstreamRecord};
 
 /// Makes the hash that selects a service independent of the hash that selects an upstream.
 const SERVICE_SEED: u64 = 0x5e_ed0f_5e21_71ce;
@@ -24,6 +24,7 @@
     revision: u64,
     is_confirmed: bool,
     routes: Arc<HashMap<SocketAddr, Route>>,
+    service_history: Arc<ServiceHistory>,
     /// Unchanged services are shared with the previous view.
     services: HashMap<ServiceId, Arc<ServiceCandidates>>,
     /// [`Fleet::service_change_count`] when the view was built.
@@ -35,6 +36,7 @@
 pub struct ServiceCandidates {
     candidates: Vec<Candidate>,
     by_agent: HashMap<SocketAddr, usize>,
+    revision: u64,
 }
 
 /// An upstream of a service, identified by its agent.
@@ -82,6 +84,8 @@
             let mut service_candidates = ServiceCandidates::default();
             for (record, presence) in fleet.service_upstreams(now, name) {
                 service_candidates.add(Candidate::new(record, peer_port, presence));
+                service_candidates.revision =
+                    service_candidates.revision.max(record.entry.revision);
             }
             let id = ServiceId::of(name.as_str());
             if service_candidates.candidates.is_empty() {
@@ -95,6 +99,7 @@
             revision: fleet.revision(),
             is_confirmed: fleet.age(now).is_some(),
             routes,
+            service_history: Arc::clone(fleet.service_history()),
             services,
             service_change_count: fleet.service_change_count(),
         }
@@ -158,16 +163,49 @@
     #[must_use]
     pub fn choose_service(route: &Route, flow: FlowId) -> Option<&WeightedService> {
         let eligible = route.services.iter().filter(|s| s.weight > 0);
-        eligible.min_by_key(|s| {
-            weighted_score(
-                splitmix64(flow.0 ^ splitmix64(s.id.0 ^ SERVICE_SEED)),
-                s.weight,
-            )
-        })
+        eligible.min_by_key(|s| service_score(s, flow))
+    }
+
+    /// Returns the services at which an open flow of the route may be: those that the route names,
+    /// the one for new flows first, then those that it named before, the most recent one first.
+    #[must_use]
+    pub fn services_of_open_flow(
+        &self,
+        now: Timestamp,
+        route: &Route,
+        flow: FlowId,
+    ) -> SmallVec<[ServiceId; 4]> {
+        let mut named: SmallVec<[&WeightedService; 4]> = route.services.iter().collect();
+        named.sort_by_key(|s| (s.weight == 0, service_score(s, flow)));
+        let former = self.service_history.former(now, route.listener.into());
+        named.iter().map(|s| s.id).chain(former).collect()
+    }
+
+    /// Returns what is known of the services that routes named before.
+    #[must_use]
+    pub fn service_history(&self) -> &ServiceHistory {
+        &self.service_history
+    }
+
+    /// Returns every service that has upstreams.
+    pub fn service_ids(&self) -> impl Iterator<Item = ServiceId> {
+        self.services.keys().copied()
     }
 }
 
+fn service_score(service: &WeightedService, flow: FlowId) -> u64 {
+    let hash = splitmix64(flow.0 ^ splitmix64(service.id.0 ^ SERVICE_SEED));
+    weighted_score(hash, service.weight)
+}
+
 impl ServiceCandidates {
+    /// Returns the highest store revision of the upstreams; two processes that know the same
+    /// upstreams have the same one.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Returns the owner of the flow: the agent that receives its packets from balancers
     /// without a cache entry for it; every process computes the same one.
     #[must_use]
--- a/crates/plantainquay_core/tests/relay/main.rs
+++ b/crates/plantainquay_core/tests/relay/main.rs
@@ -4,5 +4,6 @@
 mod opening;
 mod pacing;
 mod routes;
+mod search;
 mod support;
 mod view;
--- a/crates/plantainquay_core/tests/relay/opening.rs
+++ b/crates/plantainquay_core/tests/relay/opening.rs
@@ -87,7 +87,8 @@
             sent.entry(port).or_default().push(agent);
             if agent < process(first_silent) {
                 let accepted = message(RelayBody::Accepted(tuple(port)));
-                balancer.on_message(Timestamp::from_millis(at_ms), agent, &accepted);
+                let now = Timestamp::from_millis(at_ms);
+                balancer.on_message(now, || Some(Duration::ZERO), agent, &accepted);
             }
         }
     }
@@ -156,6 +157,8 @@
         balancer.on_tick(Timestamp::from_millis(at_ms));
     }
     let refused = message(RelayBody::Refused(tuple(5_000)));
-    let actions = balancer.on_message(Timestamp::from_millis(after_ms), sent[0].1, &refused);
+    let now = Timestamp::from_millis(after_ms);
+    let age = || Some(Duration::ZERO);
+    let actions = balancer.on_message(now, age, sent[0].1, &refused);
     assert_eq!(is_reset(&actions), is_expected_reset);
 }
--- a/crates/plantainquay_core/tests/relay/routes.rs
+++ b/crates/plantainquay_core/tests/relay/routes.rs
@@ -34,7 +34,7 @@
 
 /// Transfers changes from `source` to `requester` in the wire encoding.
 fn fetch_changes(requester: &mut Fleet, source: &Fleet) -> Changes {
-    let changes = source.changes_since(Timestamp(0), requester.version());
+    let changes = source.changes_since(Timestamp(0), requester.version(Timestamp(0)));
     let bytes = wire::fleet::Changes::from(&changes).encode_to_vec();
     let decoded = wire::fleet::Changes::decode(bytes.as_slice()).expect("valid encoding");
     let decoded = Changes::try_from(decoded).expect("valid changes");
@@ -98,7 +98,7 @@
     publish(&mut source, 2, &updated_ports);
     let old = FleetVersion {
         routes_digest: None,
-        ..requester.version()
+        ..requester.version(Timestamp(0))
     };
     assert!(source.changes_since(Timestamp(0), old).routes.is_some());
     let received = fetch_changes(&mut requester, &source);
--- /dev/null
+++ b/crates/plantainquay_core/tests/relay/search.rs
@@ -0,0 +1,423 @@
+//! Search of a balancer for the service at which an open flow is.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use plantainquay_core::relay::{
+    Action, Actions, RelayBalancer, RelayBalancerConfig, RelayPolicy, RelayView,
+};
+use plantainquay_core::{FiveTuple, Fleet, Timestamp};
+use plantainquay_schema::{
+    Changes, Generation, LostFlow, RelayBody, RelayMessage, Route, RouteDocument, ServiceId,
+    UpstreamEntry, WeightedService,
+};
+use rstest::rstest;
+
+use crate::support::{LISTENER_IP, PEER_PORT, packet, process, route, upstream};
+
+const LISTENER_PORT: u16 = 80;
+/// Longest lifetime of a flow, in milliseconds.
+const FLOW_TTL_MS: u64 = 60_000;
+/// Maximum number of rounds of question and answer before a test gives up.
+const MAX_ROUNDS: usize = 1_000;
+
+/// A balancer with its fleet; `services[i]` is the service of upstream `i + 1`.
+struct Site {
+    fleet: Fleet,
+    balancer: RelayBalancer,
+    view: Arc<RelayView>,
+    generation: u64,
+}
+
+impl Site {
+    fn new(services: &[String]) -> Self {
+        Self::with_fleet(Fleet::default(), services)
+    }
+
+    /// A site whose processes have run for longer than any flow.
+    fn with_whole_history(services: &[String]) -> Self {
+        Self::with_fleet(Fleet::default().without_earlier_flows(), services)
+    }
+
+    fn with_fleet(fleet: Fleet, services: &[String]) -> Self {
+        let mut site = Self {
+            fleet,
+            balancer: RelayBalancer::new(RelayBalancerConfig {
+                own_address: process(200),
+                shards: 1,
+                policy: RelayPolicy::default(),
+            }),
+            view: Arc::default(),
+            generation: 0,
+        };
+        let upstreams = services
+            .iter()
+            .zip(1..)
+            .map(|(service, number)| UpstreamEntry {
+                service: service.as_str().into(),
+                ..upstream(number)
+            });
+        site.apply(
+            0,
+            Changes {
+                age: Some(Duration::ZERO),
+                upstreams: upstreams.collect(),
+                ..Changes::default()
+            },
+        );
+        site
+    }
+
+    fn apply(&mut self, at_ms: u64, changes: Changes) {
+        let now = Timestamp::from_millis(at_ms);
+        self.fleet.apply(now, changes);
+        self.view = Arc::new(RelayView::build(&self.fleet, now, PEER_PORT, &self.view));
+        self.balancer.install(Arc::clone(&self.view));
+    }
+
+    /// Publishes a route with these services as the next generation; none removes the route.
+    fn publish(&mut self, at_ms: u64, services: &[&str]) {
+        self.generation += 1;
+        let changes = Changes {
+            age: Some(Duration::ZERO),
+            routes: Some(document(self.generation, services)),
+            routes_complete_after: Some(0),
+            ..Changes::default()
+        };
+        self.apply(at_ms, changes);
+    }
+
+    /// Records that the store lists another upstream of a service.
+    fn list_upstream(&mut self, at_ms: u64, number: u8, service: &str, revision: u64) {
+        let entry = UpstreamEntry {
+            service: service.into(),
+            revision,
+            ..upstream(number)
+        };
+        let changes = Changes {
+            age: Some(Duration::ZERO),
+            upstreams: vec![entry],
+            ..Changes::default()
+        };
+        self.apply(at_ms, changes);
+    }
+
+    /// Records that the store has confirmed the state.
+    fn confirm(&mut self, at_ms: u64) {
+        let age = Some(Duration::ZERO);
+        let changes = Changes {
+            age,
+            ..Changes::default()
+        };
+        self.apply(at_ms, changes);
+    }
+
+    fn send(&self, at_ms: u64, caller: u16) -> Actions {
+        let now = Timestamp::from_millis(at_ms);
+        let packet = packet(tuple(caller), 10);
+        let view_age = || self.fleet.age(now);
+        self.balancer
+            .on_packet(now, view_age, &packet, Bytes::from_static(b"data"))
+    }
+
+    /// Delivers the answer of the agent that received a packet.
+    fn answer(&self, at_ms: u64, from: SocketAddr, service: ServiceId, body: RelayBody) -> Actions {
+        let now = Timestamp::from_millis(at_ms);
+        let message = RelayMessage { service, body };
+        let view_age = || self.fleet.age(now);
+        self.balancer.on_message(now, view_age, from, &message)
+    }
+
+    /// Sends a packet; every service that is asked denies its flow. Returns the questions and
+    /// whether the flow was reset.
+    fn send_unknown(&self, at_ms: u64, caller: u16) -> (usize, bool) {
+        let mut actions = self.send(at_ms, caller);
+        let mut questions = 0;
+        for _ in 0..MAX_ROUNDS {
+            if is_reset(&actions) {
+                return (questions, true);
+            }
+            let Some((agent, service)) = asked(&actions) else {
+                break;
+            };
+            questions += 1;
+            actions = self.answer(at_ms, agent, service, lost(caller, 1));
+        }
+        (questions, false)
+    }
+}
+
+fn document(generation: u64, services: &[&str]) -> RouteDocument {
+    let route = (!services.is_empty()).then(|| Route {
+        services: services
+            .iter()
+            .map(|name| WeightedService::new(name, 1))
+            .collect(),
+        ..route(LISTENER_PORT, 1)
+    });
+    RouteDocument {
+        generation: Generation(generation),
+        routes: route.into_iter().collect(),
+    }
+}
+
+fn tuple(caller: u16) -> FiveTuple {
+    FiveTuple {
+        source: SocketAddr::new(Ipv4Addr::new(198, 51, 100, 1).into(), caller),
+        destination: SocketAddr::new(LISTENER_IP.into(), LISTENER_PORT),
+    }
+}
+
+/// The agent and service to which a packet of an open flow was sent.
+fn asked(actions: &Actions) -> Option<(SocketAddr, ServiceId)> {
+    actions.iter().find_map(|action| match action {
+        Action::Send(to, message) if matches!(message.body, RelayBody::Established(_)) => {
+            Some((*to, message.service))
+        }
+        _ => None,
+    })
+}
+
+fn is_reset(actions: &Actions) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Reset { .. }))
+}
+
+/// The denial of an agent that knows the upstreams up to a revision.
+fn lost(caller: u16, upstreams_revision: u64) -> RelayBody {
+    RelayBody::Lost(LostFlow {
+        tuple: tuple(caller),
+        upstreams_revision: Some(upstreams_revision),
+    })
+}
+
+/// Names `s0`, `s1`, … of services.
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|i| format!("s{i}")).collect()
+}
+
+/// A flow that opened before the route changed is found at the service that the route named then,
+/// with one packet of the caller, and its later packets go there directly.
+#[rstest]
+fn open_flow_is_found_at_a_former_service() {
+    let mut site = Site::with_whole_history(&names(2));
+    site.publish(0, &["s0"]);
+    site.publish(1_000, &["s1"]);
+    let (first, first_service) = asked(&site.send(2_000, 1)).expect("the owner is asked");
+    assert_eq!(first_service, ServiceId::of("s1"));
+    let denied = site.answer(2_001, first, first_service, lost(1, 1));
+    let (holder, service) = asked(&denied).expect("the former service is asked at once");
+    assert_eq!((holder, service), (process(1), ServiceId::of("s0")));
+    site.answer(2_002, holder, service, RelayBody::Located(tuple(1)));
+    let later = asked(&site.send(2_010, 1));
+    assert_eq!(later, Some((process(1), ServiceId::of("s0"))));
+}
+
+/// A route that moves away and back, or loses all its upstreams, still leads to open flows.
+#[rstest]
+#[case::back_again("s0; s1; s0", 2)]
+#[case::three_in_succession("s0; s1; s2", 3)]
+#[case::removed_and_back("s0; ; s1", 2)]
+#[case::split("s0 s1; s2", 3)]
+#[case::no_upstream_at_the_new_service("s0; unborn", 1)]
+fn every_former_service_is_asked(#[case] routes: &str, #[case] questions: usize) {
+    let mut site = Site::with_whole_history(&names(3));
+    for (services, i) in routes.split(';').zip(0..) {
+        let services: Vec<&str> = services.split_whitespace().collect();
+        site.publish(i * 100, &services);
+    }
+    site.confirm(2_000);
+    // The first packet arrives before the last confirmation, so that its route is known.
+    assert_eq!(site.send_unknown(2_000, 1), (questions, true));
+}
+
+/// A service is forgotten once no flow can be left from the time in which the route named it.
+#[rstest]
+fn former_service_is_forgotten_after_the_lifetime_of_a_flow() {
+    let mut site = Site::with_whole_history(&names(2));
+    site.publish(0, &["s0"]);
+    site.publish(1_000, &["s1"]);
+    let end_ms = 1_000 + FLOW_TTL_MS;
+    site.confirm(end_ms - 1);
+    assert_eq!(site.send_unknown(end_ms - 1, 1), (2, true));
+    site.confirm(end_ms);
+    assert_eq!(site.send_unknown(end_ms, 2), (1, true));
+}
+
+/// A process that started after a change asks every service before it resets a flow, and resets
+/// none if it doesn't ask them all.
+#[rstest]
+#[case::few_services(3, (3, true))]
+#[case::many_services(40, (1, false))]
+fn process_without_history_does_not_guess(
+    #[case] services: usize,
+    #[case] expected: (usize, bool),
+) {
+    let mut site = Site::new(&names(services));
+    site.publish(0, &["s0"]);
+    assert_eq!(site.send_unknown(100, 1), expected);
+    // Silence costs no further questions.
+    let (questions, _) = site.send_unknown(300, 1);
+    assert_eq!(questions, 0);
+}
+
+/// A view that wasn't confirmed since the flow's first packet may lack the route by which the flow
+/// opened.
+#[rstest]
+fn unconfirmed_view_is_no_proof() {
+    let mut site = Site::with_whole_history(&names(40));
+    site.publish(0, &["s0"]);
+    assert_eq!(site.send_unknown(500, 1), (1, false));
+    site.confirm(600);
+    assert_eq!(site.send_unknown(700, 1), (0, true));
+}
+
+/// An agent that doesn't know the newest upstream of its service can't deny the flow.
+#[rstest]
+fn denial_by_a_lagging_agent_is_ignored() {
+    let mut site = Site::with_whole_history(&names(1));
+    site.publish(0, &["s0"]);
+    site.list_upstream(0, 9, "s0", 2);
+    let (owner, service) = asked(&site.send(0, 1)).expect("the owner is asked");
+    assert!(!is_reset(&site.answer(1, owner, service, lost(1, 1))));
+    assert!(asked(&site.send(200, 1)).is_some());
+    site.confirm(200);
+    assert!(is_reset(&site.answer(201, owner, service, lost(1, 2))));
+}
+
+/// A service is asked again if the store has listed an upstream of it since its denial.
+#[rstest]
+fn denial_from_before_the_newest_upstream_is_ignored() {
+    let mut site = Site::with_whole_history(&names(2));
+    site.publish(0, &["s0"]);
+    site.publish(0, &["s1"]);
+    let (owner, first) = asked(&site.send(0, 1)).expect("the owner is asked");
+    let next = asked(&site.answer(1, owner, first, lost(1, 1)));
+    let (former_owner, former) = next.expect("the former service is asked");
+    site.list_upstream(2, 9, "s1", 2);
+    let last = site.answer(3, former_owner, former, lost(1, 1));
+    assert_eq!(asked(&last).map(|(_, service)| service), Some(first));
+}
+
+/// Packets of an open flow whose route is missing are answered only once the absence is confirmed.
+#[rstest]
+fn missing_route_is_confirmed_before_a_reset() {
+    let mut site = Site::with_whole_history(&names(1));
+    site.publish(0, &["s0"]);
+    site.publish(100, &[]);
+    assert!(!is_reset(&site.send(500, 1)));
+    assert!(!is_reset(&site.send(700, 1)));
+    site.confirm(800);
+    assert!(is_reset(&site.send(900, 1)));
+}
+
+/// Questions about a flow that no upstream holds, by the number of services that the route has
+/// named: for its first packet, for nine retransmissions, and for nine packets after the reset.
+#[rstest]
+fn questions_grow_with_former_services_alone() {
+    let mut table = String::new();
+    for former in [0, 1, 10, 100] {
+        let mut site = Site::with_whole_history(&names(former + 2));
+        for (i, name) in (0..).zip(names(former + 1)) {
+            site.publish(i, &[name.as_str()]);
+        }
+        site.confirm(1_000);
+        let (first, _) = site.send_unknown(1_000, 1);
+        let mut later = Vec::new();
+        let mut reset_at_ms = None;
+        for at_ms in (1_100..=5_900).step_by(100) {
+            let (questions, is_reset) = site.send_unknown(at_ms, 1);
+            later.push(questions);
+            if is_reset && reset_at_ms.is_none() {
+                reset_at_ms = Some(at_ms);
+            }
+        }
+        let most = later.iter().max().copied().unwrap_or(0);
+        // Writing to a string never fails.
+        let _infallible = writeln!(
+            table,
+            "{former:>3} former services: {first} for the first packet, at most {most} for each later one, {} in 5 s",
+            first + later.iter().sum::<usize>()
+        );
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// A process that starts later learns the former services from its source, and one that missed
+/// documents knows that it did.
+#[rstest]
+fn history_spreads_with_the_routes() {
+    let publish = |fleet: &mut Fleet, at_ms: u64, generation, service: &str, complete_after| {
+        let changes = Changes {
+            age: Some(Duration::ZERO),
+            routes: Some(document(generation, &[service])),
+            routes_complete_after: complete_after,
+            ..Changes::default()
+        };
+        fleet.apply(Timestamp::from_millis(at_ms), changes);
+    };
+    let mut source = Fleet::default();
+    let mut follower = Fleet::default();
+    let mut log = String::new();
+    let mut note = |event: &str, at_ms: u64, fleets: [(&str, &Fleet); 2]| {
+        let now = Timestamp::from_millis(at_ms);
+        let _infallible = writeln!(log, "{at_ms:>6} {event}");
+        for (name, fleet) in fleets {
+            let listener = SocketAddr::new(LISTENER_IP.into(), LISTENER_PORT);
+            let history = fleet.service_history();
+            let known: BTreeMap<ServiceId, &str> =
+                ["a", "b", "c", "d"].map(|s| (ServiceId::of(s), s)).into();
+            let former: Vec<&str> = history
+                .former(now, listener)
+                .iter()
+                .map(|id| known[id])
+                .collect();
+            let span = history.span(now).as_millis();
+            let _infallible = writeln!(log, "       {name}: former {former:?}, span {span} ms");
+        }
+    };
+    let fetch = |follower: &mut Fleet, source: &Fleet, at_ms: u64| {
+        let now = Timestamp::from_millis(at_ms);
+        let changes = source.changes_since(now, follower.version(now));
+        let sends_history = changes.former_services.is_some();
+        follower.apply(now, changes);
+        sends_history
+    };
+    publish(&mut source, 0, 1, "a", None);
+    publish(&mut source, 5_000, 2, "b", Some(0));
+    note(
+        "routes change",
+        5_000,
+        [("source", &source), ("follower", &follower)],
+    );
+    assert!(fetch(&mut follower, &source, 10_000));
+    note(
+        "follower starts",
+        10_000,
+        [("source", &source), ("follower", &follower)],
+    );
+    assert!(!fetch(&mut follower, &source, 11_000));
+    publish(&mut source, 12_000, 3, "c", Some(0));
+    assert!(fetch(&mut follower, &source, 12_000));
+    note(
+        "routes change",
+        12_000,
+        [("source", &source), ("follower", &follower)],
+    );
+    publish(&mut source, 15_000, 9, "d", None);
+    note(
+        "source misses documents",
+        15_000,
+        [("source", &source), ("follower", &follower)],
+    );
+    assert!(fetch(&mut follower, &source, 16_000));
+    note(
+        "follower hears of it",
+        16_000,
+        [("source", &source), ("follower", &follower)],
+    );
+    insta::assert_snapshot!(log);
+}
--- a/crates/plantainquay_net/src/relay/balancer.rs
+++ b/crates/plantainquay_net/src/relay/balancer.rs
@@ -65,8 +65,9 @@
         let this = Arc::clone(self);
         spawn("messages", move || {
             this.sockets.receive_messages(|from, message, _| {
-                this.balancer
-                    .on_message(this.sockets.clock.now(), from, &message)
+                let now = this.sockets.clock.now();
+                let view_age = || this.fleet.age(now);
+                this.balancer.on_message(now, view_age, from, &message)
             });
         })?;
         let this = Arc::clone(self);
--- a/crates/plantainquay_net/src/relay/fetch.rs
+++ b/crates/plantainquay_net/src/relay/fetch.rs
@@ -35,6 +35,9 @@
         // Writing to a string never fails.
         let _infallible = write!(url, "&routes={digest}");
     }
+    if let Some(span) = since.history_span {
+        let _infallible = write!(url, "&history_ms={}", span.as_millis());
+    }
     let response = client.get(url).send().await;
     let response = response.map_err(|error| error.to_string())?;
     if response.status() != StatusCode::OK {
--- a/crates/plantainquay_net/src/relay/fleet_state.rs
+++ b/crates/plantainquay_net/src/relay/fleet_state.rs
@@ -32,7 +32,6 @@
     clock: Clock,
 }
 
-#[derive(Default)]
 struct Inner {
     fleet: Fleet,
     view: Arc<RelayView>,
@@ -46,11 +45,16 @@
 }
 
 impl FleetState {
-    /// Creates an empty state; other processes receive messages on `peer_port`.
+    /// Creates a state that starts from `fleet`; other processes receive messages on `peer_port`.
     #[must_use]
-    pub fn new(peer_port: u16, clock: Clock) -> Self {
+    pub fn new(fleet: Fleet, peer_port: u16, clock: Clock) -> Self {
+        let inner = Inner {
+            fleet,
+            view: Arc::default(),
+            last_expiry: Timestamp::default(),
+        };
         Self {
-            inner: Mutex::default(),
+            inner: Mutex::new(inner),
             install: Mutex::new(None),
             is_cut_off: AtomicBool::new(true),
             changed: watch::Sender::new(0),
@@ -128,6 +132,13 @@
         self.with_fleet(|fleet| fleet.age(now))
     }
 
+    /// Returns the version of the state, with which changes are requested.
+    #[must_use]
+    pub fn version(&self) -> FleetVersion {
+        let now = self.clock.now();
+        self.with_fleet(|fleet| fleet.version(now))
+    }
+
     /// Returns the view in force.
     #[must_use]
     pub fn view(&self) -> Arc<RelayView> {
@@ -177,13 +188,15 @@
 
 fn log_change(applied: AppliedChanges, fleet: &Fleet, now: Timestamp, source: &str) {
     let upstreams = fleet.current_upstreams(now).count();
-    let pairs: [(&str, &dyn fmt::Display); 6] = [
+    let history_ms = fleet.service_history().span(now).as_millis();
+    let pairs: [(&str, &dyn fmt::Display); 7] = [
         ("source", &source),
         ("generation", &fleet.routes().generation),
         ("new_routes", &applied.routes),
         ("revision", &fleet.revision()),
         ("new_upstreams", &applied.upstreams),
         ("upstreams", &upstreams),
+        ("history_ms", &history_ms),
     ];
     event(Level::Info, "view_changed", &pairs);
 }
--- a/crates/plantainquay_net/src/relay/follow.rs
+++ b/crates/plantainquay_net/src/relay/follow.rs
@@ -146,7 +146,7 @@
 
     /// Requests changes from a source; returns `None` on failure or timeout.
     async fn fetch_from(&self, source: SocketAddr, wait: Duration) -> Option<Changes> {
-        let since = self.state.with_fleet(Fleet::version);
+        let since = self.state.version();
         let response = fetch_changes(&self.client, source, since, wait);
         match timeout(wait + SOURCE_TIMEOUT_MARGIN, response).await {
             Ok(Ok(changes)) => Some(changes),
--- a/crates/plantainquay_net/src/relay/http.rs
+++ b/crates/plantainquay_net/src/relay/http.rs
@@ -100,6 +100,8 @@
     wait_ms: u64,
     /// Digest of the requester's routes; without it the response has all routes.
     routes: Option<u64>,
+    /// Time for which the requester knows all former services of routes.
+    history_ms: Option<u64>,
 }
 
 impl From<&ChangesQuery> for FleetVersion {
@@ -108,6 +110,7 @@
             generation: Generation(query.generation),
             revision: query.revision,
             routes_digest: query.routes,
+            history_span: query.history_ms.map(Duration::from_millis),
         }
     }
 }
--- a/crates/plantainquay_net/src/relay/metrics.rs
+++ b/crates/plantainquay_net/src/relay/metrics.rs
@@ -10,6 +10,8 @@
     /// Updates the metrics from the state.
     pub fn refresh_metrics(&self) {
         let now = self.now();
+        let history_span = self.with_fleet(|fleet| fleet.service_history().span(now));
+        gauge!("relay_route_history_seconds").set(history_span.as_secs_f64());
         let (generation, revision, upstreams, age) = self.with_fleet(|fleet| {
             let upstreams = fleet.current_upstreams(now).count();
             let generation = fleet.routes().generation.0;
@@ -47,6 +49,14 @@
                 counters.cached_flow_packets,
             ),
             ("relay_owner_packets_total", counters.owner_packets),
+            (
+                "relay_further_services_asked_total",
+                counters.further_services_asked,
+            ),
+            (
+                "relay_undetermined_packets_total",
+                counters.undetermined_packets,
+            ),
             ("relay_reset_flows_total", counters.reset_flows),
             ("relay_unrouted_packets_total", counters.unrouted_packets),
             ("relay_no_view_packets_total", counters.no_view_packets),
--- a/crates/plantainquay_schema/src/fleet.rs
+++ b/crates/plantainquay_schema/src/fleet.rs
@@ -110,6 +110,32 @@
     pub departures: Vec<Departure>,
     /// True if the sender can reach neither the store nor a process that reads it.
     pub is_cut_off: bool,
+    /// Documents between the receiver's routes and `routes`, oldest first; only from the store.
+    pub earlier_routes: Vec<RouteDocument>,
+    /// Store revision after which the documents are complete; `None` if some may be missing.
+    pub routes_complete_after: Option<u64>,
+    /// Services that routes named before; only from another process.
+    pub former_services: Option<FormerServices>,
+}
+
+/// Services that routes named before, at whose upstreams flows may still be open.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FormerServices {
+    /// Time for which `services` is complete.
+    pub span: Duration,
+    /// The services.
+    pub services: Vec<FormerService>,
+}
+
+/// A service that the route of a listener no longer names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FormerService {
+    /// Address and port of the route.
+    pub listener: SocketAddrV4,
+    /// Name of the service.
+    pub service: Name,
+    /// Time since the route named the service.
+    pub age: Duration,
 }
 
 impl Departure {
@@ -197,10 +223,7 @@
 
 impl From<&RouteChanges> for wire::fleet::RouteChanges {
     fn from(changes: &RouteChanges) -> Self {
-        let removed = changes.removed.iter().map(|l| wire::fleet::Listener {
-            ip: l.ip().to_bits(),
-            port: l.port().into(),
-        });
+        let removed = changes.removed.iter().map(|l| wire_listener(*l));
         Self {
             from: changes.from.0,
             generation: changes.generation.0,
@@ -228,6 +251,13 @@
     }
 }
 
+fn wire_listener(listener: SocketAddrV4) -> wire::fleet::Listener {
+    wire::fleet::Listener {
+        ip: listener.ip().to_bits(),
+        port: listener.port().into(),
+    }
+}
+
 fn listener_address(ip: u32, port: u32) -> Result<SocketAddrV4, ValidationErrors> {
     let port = u16::try_from(port).map_err(|_e| validation_error("port", "is out of range"))?;
     Ok(SocketAddrV4::new(Ipv4Addr::from_bits(ip), port))
@@ -316,10 +346,52 @@
             upstreams: changes.upstreams.iter().map(Into::into).collect(),
             departures: departures.collect(),
             is_cut_off: changes.is_cut_off,
+            former_services: changes.former_services.as_ref().map(Into::into),
+        }
+    }
+}
+
+impl From<&FormerServices> for wire::fleet::FormerServices {
+    fn from(former: &FormerServices) -> Self {
+        let services = former.services.iter().map(|s| wire::fleet::FormerService {
+            listener: Some(wire_listener(s.listener)),
+            service: s.service.to_string(),
+            age_ms: millis(s.age),
+        });
+        Self {
+            span_ms: millis(former.span),
+            services: services.collect(),
         }
     }
 }
 
+impl TryFrom<wire::fleet::FormerServices> for FormerServices {
+    type Error = ValidationErrors;
+
+    fn try_from(former: wire::fleet::FormerServices) -> Result<Self, ValidationErrors> {
+        let services = former.services.into_iter().map(FormerService::try_from);
+        Ok(Self {
+            span: Duration::from_millis(former.span_ms),
+            services: services.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl TryFrom<wire::fleet::FormerService> for FormerService {
+    type Error = ValidationErrors;
+
+    fn try_from(former: wire::fleet::FormerService) -> Result<Self, ValidationErrors> {
+        let listener = former
+            .listener
+            .ok_or_else(|| validation_error("listener", "is missing"))?;
+        Ok(Self {
+            listener: listener_address(listener.ip, listener.port)?,
+            service: former.service.as_str().into(),
+            age: Duration::from_millis(former.age_ms),
+        })
+    }
+}
+
 impl TryFrom<wire::fleet::Changes> for Changes {
     type Error = ValidationErrors;
 
@@ -338,6 +410,8 @@
             upstreams: changes.upstreams.into_iter().map(Into::into).collect(),
             departures: departures.collect(),
             is_cut_off: changes.is_cut_off,
+            former_services: changes.former_services.map(TryInto::try_into).transpose()?,
+            ..Self::default()
         })
     }
 }
--- a/crates/plantainquay_schema/src/lib.rs
+++ b/crates/plantainquay_schema/src/lib.rs
@@ -34,14 +34,16 @@
 };
 pub use five_tuple::FiveTuple;
 pub use fleet::{
-    Changes, Departure, Route, RouteChanges, RouteDocument, UpstreamEntry, WeightedService,
+    Changes, Departure, FormerService, FormerServices, Route, RouteChanges, RouteDocument,
+    UpstreamEntry, WeightedService,
 };
 pub use ids::{DocumentVersion, FlowId, Generation, Incarnation, ServiceId, UpstreamNumber};
 pub use in_force::InForce;
 pub use instances::{Instance, parse_instances};
 pub use name::Name;
 pub use relay::{
-    AgentLoad, EstablishedPacket, OpeningPacket, RelayBody, RelayError, RelayMessage, VisitedAgents,
+    AgentLoad, EstablishedPacket, LostFlow, OpeningPacket, RelayBody, RelayError, RelayMessage,
+    VisitedAgents,
 };
 pub use relay_settings::{RelayAgentSettings, RelayRole, RelaySettings};
 pub use settings::{AgentSettings, Key, KeyId, Platform, Role, Settings};
--- a/crates/plantainquay_schema/src/relay.rs
+++ b/crates/plantainquay_schema/src/relay.rs
@@ -41,7 +41,7 @@
     /// The sender's upstream does not hold the flow.
     NotHeld(FiveTuple),
     /// Every upstream of the service has reported that it does not hold the flow.
-    Lost(FiveTuple),
+    Lost(LostFlow),
     /// No upstream of the service accepts the new flow.
     Refused(FiveTuple),
 }
@@ -62,6 +62,16 @@
     }
 }
 
+/// A flow that no upstream of a service holds, as far as the sender knows the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LostFlow {
+    /// The flow.
+    pub tuple: FiveTuple,
+    /// Highest store revision of the upstreams that denied the flow; `None` if the sender doesn't
+    /// report it.
+    pub upstreams_revision: Option<u64>,
+}
+
 /// A packet that opens a flow, forwarded until an upstream accepts it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpeningPacket {
@@ -165,7 +175,7 @@
             RelayBody::Accepted(tuple) => Body::Accepted(tuple.try_into()?),
             RelayBody::Located(tuple) => Body::Located(tuple.try_into()?),
             RelayBody::NotHeld(tuple) => Body::NotHeld(tuple.try_into()?),
-            RelayBody::Lost(tuple) => Body::Lost(tuple.try_into()?),
+            RelayBody::Lost(lost) => Body::Lost(lost.try_into()?),
             RelayBody::Refused(tuple) => Body::Refused(tuple.try_into()?),
         };
         Ok(Self {
@@ -187,7 +197,7 @@
             Body::Accepted(flow) => RelayBody::Accepted(flow.try_into()?),
             Body::Located(flow) => RelayBody::Located(flow.try_into()?),
             Body::NotHeld(flow) => RelayBody::NotHeld(flow.try_into()?),
-            Body::Lost(flow) => RelayBody::Lost(flow.try_into()?),
+            Body::Lost(lost) => RelayBody::Lost(lost.try_into()?),
             Body::Refused(flow) => RelayBody::Refused(flow.try_into()?),
         };
         Ok(Self {
@@ -284,6 +294,34 @@
     }
 }
 
+impl TryFrom<&LostFlow> for wire::relay::LostFlow {
+    type Error = RelayError;
+
+    fn try_from(lost: &LostFlow) -> Result<Self, RelayError> {
+        let flow = wire::relay::Flow::try_from(&lost.tuple)?;
+        Ok(Self {
+            caller: flow.caller,
+            listener: flow.listener,
+            upstreams_revision: lost.upstreams_revision,
+        })
+    }
+}
+
+impl TryFrom<wire::relay::LostFlow> for LostFlow {
+    type Error = RelayError;
+
+    fn try_from(lost: wire::relay::LostFlow) -> Result<Self, RelayError> {
+        let flow = wire::relay::Flow {
+            caller: lost.caller,
+            listener: lost.listener,
+        };
+        Ok(Self {
+            tuple: flow.try_into()?,
+            upstreams_revision: lost.upstreams_revision,
+        })
+    }
+}
+
 fn wire_endpoint(address: SocketAddr) -> Result<wire::relay::Endpoint, RelayError> {
     let SocketAddr::V4(address) = address else {
         return Err(RelayError::NotIpv4(address));
--- a/crates/plantainquay_schema/src/relay_settings.rs
+++ b/crates/plantainquay_schema/src/relay_settings.rs
@@ -9,6 +9,9 @@
 const DEFAULT_THREADS: u32 = 1;
 const MAX_THREADS: u32 = 8;
 const DEFAULT_STOP_GRACE_S: u64 = 6;
+const DEFAULT_FLOW_TTL_S: u64 = 60;
+/// Longest time for which former services of routes are kept.
+const MAX_FLOW_TTL_S: u64 = 24 * 60 * 60;
 
 /// Validated settings of a relay daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,6 +44,11 @@
     pub stop_grace: Duration,
     /// Least severe log level that is written.
     pub log_level: Name,
+    /// Time after which callers and upstreams give up a flow.
+    pub flow_ttl: Duration,
+    /// True if the whole system starts for the first time, so that no flow is older than the
+    /// process.
+    pub first_start: bool,
 }
 
 /// Role of a relay daemon.
@@ -99,6 +107,9 @@
     let threads = value_or_default(wire.threads, DEFAULT_THREADS).min(MAX_THREADS);
     let stop_grace_s = value_or_default(wire.stop_grace_s, DEFAULT_STOP_GRACE_S);
     let log_level = check_log_level(&wire.log_level, errors);
+    let flow_ttl_s = value_or_default(wire.flow_ttl_s, DEFAULT_FLOW_TTL_S);
+    let is_in_range = flow_ttl_s <= MAX_FLOW_TTL_S;
+    errors.require(is_in_range, "flow_ttl_s", "must be at most 86400");
     let packets = packets?;
     let advertised_ip = &wire.advertised_ip;
     let advertised_ip = check_ip("advertised_ip", advertised_ip, packets.ip(), errors);
@@ -117,6 +128,8 @@
         threads: threads as usize,
         stop_grace: Duration::from_secs(stop_grace_s),
         log_level: log_level.into(),
+        flow_ttl: Duration::from_secs(flow_ttl_s),
+        first_start: wire.first_start,
     })
 }
 
--- a/crates/plantainquay_trace/src/relay/event.rs
+++ b/crates/plantainquay_trace/src/relay/event.rs
@@ -38,6 +38,12 @@
     Join(u16),
     /// The network randomly loses one in this many packets and messages; zero turns loss off.
     Lose(u64),
+    /// The store names these services, with their weights, for the route; none removes the route.
+    Route(Vec<(String, u32)>),
+    /// A process no longer receives changes.
+    Cut(String),
+    /// A process that was cut off receives the changes that it missed.
+    Mend(String),
 }
 
 /// Error for a line that is not a valid event.
@@ -76,6 +82,10 @@
     let mut words = line.split_whitespace();
     let time = number(words.next(), "")?;
     let verb = words.next().unwrap_or_default();
+    if verb == "route" {
+        let services = words.map(weighted_service).collect::<Result<_, _>>()?;
+        return Ok((time, RelayEvent::Route(services)));
+    }
     let first = words.next();
     let second = words.next();
     let process = |word: Option<&str>| {
@@ -98,11 +108,21 @@
         "depart" => RelayEvent::Depart(number(first, "u")?),
         "join" => RelayEvent::Join(number(first, "u")?),
         "lose" => RelayEvent::Lose(number(first, "")?),
+        "cut" => RelayEvent::Cut(process(first)?),
+        "mend" => RelayEvent::Mend(process(first)?),
         _ => return Err(format!("unknown event `{verb}`")),
     };
     Ok((time, event))
 }
 
+/// Parses a service with its weight, such as `feed=2`.
+fn weighted_service(word: &str) -> Result<(String, u32), String> {
+    let (name, weight) = word
+        .split_once('=')
+        .ok_or_else(|| format!("`{word}` is not a service with a weight"))?;
+    Ok((name.to_owned(), number(Some(weight), "")?))
+}
+
 fn number<T: FromStr>(word: Option<&str>, prefix: &str) -> Result<T, String> {
     let word = word.unwrap_or_default();
     let digits = word.strip_prefix(prefix).unwrap_or_default();
--- a/crates/plantainquay_trace/src/relay/process.rs
+++ b/crates/plantainquay_trace/src/relay/process.rs
@@ -13,7 +13,7 @@
 
 /// Port for messages between processes.
 pub(super) const PEER_PORT: u16 = 7_000;
-/// Name of the only service.
+/// Name of the first service, which receives every flow until the route changes.
 pub(super) const SERVICE: &str = "feed";
 
 /// A simulated process with its view of the fleet.
@@ -24,7 +24,11 @@
     pub(super) role: Role,
     pub(super) is_paused: bool,
     pub(super) is_down: bool,
+    /// True while the process receives no changes.
+    pub(super) is_cut_off: bool,
     policy: RelayPolicy,
+    /// Service of an agent's upstream.
+    service: ServiceId,
     fleet: Fleet,
     view: Arc<RelayView>,
 }
@@ -36,16 +40,19 @@
 }
 
 impl Process {
-    pub(super) fn new(name: &str, ip: Ipv4Addr, policy: RelayPolicy) -> Self {
+    /// Creates a process that starts with the whole system.
+    pub(super) fn new(name: &str, ip: Ipv4Addr, service: ServiceId, policy: RelayPolicy) -> Self {
         let address = SocketAddr::new(ip.into(), PEER_PORT);
         Self {
             name: name.to_owned(),
             address,
-            role: Role::new(name.starts_with('a'), address, policy),
+            role: Role::new(name.starts_with('a'), address, service, policy),
             is_paused: false,
             is_down: false,
+            is_cut_off: false,
             policy,
-            fleet: Fleet::default(),
+            service,
+            fleet: Fleet::default().without_earlier_flows(),
             view: Arc::default(),
         }
     }
@@ -55,12 +62,14 @@
         self.role = Role::new(
             matches!(self.role, Role::Agent(_)),
             self.address,
+            self.service,
             self.policy,
         );
         self.fleet = Fleet::default();
         self.view = Arc::default();
         self.is_down = false;
         self.is_paused = false;
+        self.is_cut_off = false;
     }
 
     pub(super) fn apply_changes(&mut self, now: Timestamp, changes: Changes) {
@@ -68,9 +77,19 @@
         self.rebuild(now);
     }
 
-    /// Returns the changes that a process with an empty fleet needs.
-    pub(super) fn full_changes(&self, now: Timestamp) -> Changes {
-        self.fleet.changes_since(now, FleetVersion::default())
+    /// Returns true if other processes can receive changes from this one.
+    pub(super) fn can_be_source(&self) -> bool {
+        !self.is_down && !self.is_paused && !self.is_cut_off
+    }
+
+    /// Returns the changes that a process with the version `since` needs.
+    pub(super) fn changes_since(&self, now: Timestamp, since: FleetVersion) -> Changes {
+        self.fleet.changes_since(now, since)
+    }
+
+    /// Returns the version of the process's state.
+    pub(super) fn version(&self, now: Timestamp) -> FleetVersion {
+        self.fleet.version(now)
     }
 
     pub(super) fn tick(&mut self, now: Timestamp, last_tick: Timestamp) -> Actions {
@@ -91,7 +110,9 @@
         packet: Option<&Packet>,
     ) -> Actions {
         match &self.role {
-            Role::Balancer(balancer) => balancer.on_message(now, from, &message),
+            Role::Balancer(balancer) => {
+                balancer.on_message(now, || self.view_age(now), from, &message)
+            }
             Role::Agent(agent) => agent.on_message(now, from, message, packet),
         }
     }
@@ -111,11 +132,11 @@
 }
 
 impl Role {
-    fn new(is_agent: bool, address: SocketAddr, policy: RelayPolicy) -> Self {
+    fn new(is_agent: bool, address: SocketAddr, service: ServiceId, policy: RelayPolicy) -> Self {
         const SHARDS: usize = 2;
         if is_agent {
             Self::Agent(RelayAgent::new(RelayAgentConfig {
-                service: ServiceId::of(SERVICE),
+                service,
                 own_address: address,
                 shards: SHARDS,
                 policy,
--- a/crates/plantainquay_trace/src/relay/simulation.rs
+++ b/crates/plantainquay_trace/src/relay/simulation.rs
@@ -12,10 +12,12 @@
 use bytes::Bytes;
 use plantainquay_core::Timestamp;
 use plantainquay_core::relay::{Action, Actions, RelayPolicy};
-use plantainquay_schema::{Incarnation, UpstreamEntry};
+use plantainquay_schema::{
+    Generation, Incarnation, Name, Route, RouteDocument, ServiceId, UpstreamEntry, WeightedService,
+};
 
 use super::RelayEvent;
-use super::codec::SimulatedPacket;
+use super::codec::{LISTENER, SimulatedPacket};
 use super::network::{Arrival, Network};
 use super::process::{Process, Role, SERVICE};
 use super::upstream::Upstream;
@@ -24,6 +26,10 @@
 const SLOTS: u8 = 2;
 /// Interval between two ticks of a process, in milliseconds.
 const TICK_INTERVAL_MS: u64 = 20;
+/// Interval at which the store confirms the state of every process, in milliseconds.
+const CONFIRM_INTERVAL_MS: u64 = 800;
+/// Time in which decisions that were taken before a change may still have effects, in milliseconds.
+const SETTLING_TIME_MS: u64 = 100;
 
 /// Minimum number of stray packets, with none to the right upstream, for a flow to count as astray.
 const ASTRAY_MIN_PACKETS: usize = 3;
@@ -41,6 +47,14 @@
     upstreams: BTreeMap<u16, Upstream>,
     store_entries: BTreeMap<u16, UpstreamEntry>,
     revision: u64,
+    /// Services to which upstreams are assigned in turn.
+    services: Vec<Name>,
+    routes: RouteDocument,
+    /// Upstreams that the store didn't list when the last process that knew them ended, with the
+    /// time at which decisions take the store's new entry into account.
+    forgotten: BTreeMap<u16, u64>,
+    /// Services that the route has named at any time.
+    named_services: BTreeSet<Name>,
     flows: BTreeMap<u16, Flow>,
     log: String,
     summary: RelaySummary,
@@ -65,6 +79,8 @@
     astray_since_ms: u64,
     /// Time of the first answer.
     answered_at_ms: Option<u64>,
+    /// True if the flow's route was removed while the flow was open.
+    is_route_removed: bool,
 }
 
 /// Counters of what callers and upstreams have observed.
@@ -83,6 +99,8 @@
     pub astray: u32,
     /// Packets that the right upstream answered.
     pub answered: u32,
+    /// Flows that were accepted by an upstream whose service the route has never named.
+    pub misrouted: u32,
 }
 
 impl RelaySimulation {
@@ -95,6 +113,29 @@
     /// Creates a simulation whose processes use a given policy.
     #[must_use]
     pub fn with_policy(balancers: u16, upstreams: u16, seed: u64, policy: RelayPolicy) -> Self {
+        Self::build(balancers, upstreams, &[SERVICE], seed, policy)
+    }
+
+    /// Creates a simulation with several services, to which upstreams are assigned in turn; the
+    /// route names the first one until a [`RelayEvent::Route`].
+    ///
+    /// # Panics
+    ///
+    /// Panics without a service.
+    #[must_use]
+    pub fn with_services(balancers: u16, upstreams: u16, services: &[&str], seed: u64) -> Self {
+        Self::build(balancers, upstreams, services, seed, RelayPolicy::default())
+    }
+
+    fn build(
+        balancers: u16,
+        upstreams: u16,
+        services: &[&str],
+        seed: u64,
+        policy: RelayPolicy,
+    ) -> Self {
+        let services: Vec<Name> = services.iter().map(|name| (*name).into()).collect();
+        let first_service = services[0].clone();
         let mut simulation = Self {
             now_ms: 0,
             last_tick_ms: 0,
@@ -104,22 +145,29 @@
             upstreams: BTreeMap::new(),
             store_entries: BTreeMap::new(),
             revision: 1,
+            routes: route_document(1, &[(first_service.as_str(), 1)]),
+            named_services: [first_service].into(),
+            services,
+            forgotten: BTreeMap::new(),
             flows: BTreeMap::new(),
             log: String::new(),
             summary: RelaySummary::default(),
             service_times_ms: None,
         };
         for number in 1..=balancers {
-            let process = Process::new(&format!("b{number}"), balancer_ip(number), policy);
+            let service = ServiceId::of(SERVICE);
+            let name = format!("b{number}");
+            let process = Process::new(&name, balancer_ip(number), service, policy);
             simulation.processes.push(process);
         }
         for number in 1..=upstreams {
-            let process = Process::new(&format!("a{number}"), agent_ip(number), policy);
+            let service = ServiceId::of(simulation.service_of(number).as_str());
+            let name = format!("a{number}");
+            let process = Process::new(&name, agent_ip(number), service, policy);
             simulation.processes.push(process);
             simulation.upstreams.insert(number, Upstream::default());
-            simulation
-                .store_entries
-                .insert(number, upstream_entry(number, 1));
+            let entry = simulation.upstream_entry(number, 1);
+            simulation.store_entries.insert(number, entry);
         }
         simulation.broadcast_changes(&simulation.full_changes());
         simulation
@@ -174,8 +222,13 @@
 
     /// Returns true if the upstream that accepted a flow still holds it.
     fn is_held(&self, flow: u16) -> bool {
-        let accepted_by = self.flows.get(&flow).and_then(|flow| flow.accepted_by);
-        accepted_by.is_some_and(|accepted_by| self.upstreams[&accepted_by].holds(flow))
+        let flow_state = self.flows.get(&flow).filter(|f| !f.is_route_removed);
+        let accepted_by = flow_state.and_then(|flow| flow.accepted_by);
+        accepted_by.is_some_and(|accepted_by| {
+            let known_from_ms = self.forgotten.get(&accepted_by).copied();
+            let is_known = known_from_ms.is_none_or(|from| self.now_ms >= from);
+            is_known && self.upstreams[&accepted_by].holds(flow)
+        })
     }
 
     fn run_until(&mut self, until_ms: u64) {
@@ -198,6 +251,9 @@
         let now = self.now();
         let last_tick = Timestamp::from_millis(self.last_tick_ms);
         self.last_tick_ms = self.now_ms;
+        if self.now_ms.is_multiple_of(CONFIRM_INTERVAL_MS) {
+            self.broadcast_changes(&self.empty_changes());
+        }
         for index in 0..self.processes.len() {
             let process = &mut self.processes[index];
             if !process.is_down && !process.is_paused {
@@ -276,6 +332,25 @@
         }
     }
 
+    /// Service to which an upstream is assigned.
+    fn service_of(&self, upstream: u16) -> &Name {
+        &self.services[usize::from(upstream - 1) % self.services.len()]
+    }
+
+    fn upstream_entry(&self, number: u16, revision: u64) -> UpstreamEntry {
+        UpstreamEntry {
+            id: format!("u{number}").as_str().into(),
+            service: self.service_of(number).clone(),
+            ip: agent_ip(number),
+            data_centre: "split".into(),
+            slots: SLOTS.into(),
+            draining: false,
+            incarnation: Incarnation(1),
+            warm_up: Duration::ZERO,
+            revision,
+        }
+    }
+
     fn now(&self) -> Timestamp {
         Timestamp::from_millis(self.now_ms)
     }
@@ -311,18 +386,24 @@
     decoded.to_packet(returned)
 }
 
-fn upstream_entry(number: u16, revision: u64) -> UpstreamEntry {
-    let ip = agent_ip(number);
-    UpstreamEntry {
-        id: format!("u{number}").as_str().into(),
-        service: SERVICE.into(),
-        ip,
-        data_centre: "split".into(),
-        slots: SLOTS.into(),
-        draining: false,
-        incarnation: Incarnation(1),
-        warm_up: Duration::ZERO,
-        revision,
+/// Routes of a generation; without services there is no route.
+fn route_document(generation: u64, services: &[(&str, u32)]) -> RouteDocument {
+    let SocketAddr::V4(listener) = LISTENER else {
+        return RouteDocument::default();
+    };
+    let weighted = services
+        .iter()
+        .map(|(name, weight)| WeightedService::new(name, *weight));
+    let route = (!services.is_empty()).then(|| Route {
+        listener,
+        services: weighted.collect(),
+        idempotent: true,
+        timeout: Duration::from_secs(1),
+        priority: 1,
+    });
+    RouteDocument {
+        generation: Generation(generation),
+        routes: route.into_iter().collect(),
     }
 }
 
--- a/crates/plantainquay_trace/src/relay/simulation/callers.rs
+++ b/crates/plantainquay_trace/src/relay/simulation/callers.rs
@@ -21,6 +21,9 @@
                 flow.accepted_by = Some(decoded.upstream);
                 flow.incarnation = decoded.incarnation;
                 self.summary.opened += 1;
+                let service =
+                    &self.services[usize::from(decoded.upstream - 1) % self.services.len()];
+                self.summary.misrouted += u32::from(!self.named_services.contains(service));
                 let line = format!("f{} opened at u{}", decoded.flow, decoded.upstream);
                 self.log_line(&line);
                 if self.service_times_ms.is_some() {
--- a/crates/plantainquay_trace/src/relay/simulation/faults.rs
+++ b/crates/plantainquay_trace/src/relay/simulation/faults.rs
@@ -1,16 +1,14 @@
 //! Faults and changes to the upstreams that the store lists.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use plantainquay_schema::{
-    Changes, Departure, Generation, Route, RouteDocument, UpstreamEntry, WeightedService,
-};
+use plantainquay_core::FleetVersion;
+use plantainquay_schema::{Changes, Departure, UpstreamEntry};
 
-use super::{Flow, RelaySimulation, upstream_entry};
+use super::{Flow, RelaySimulation, SETTLING_TIME_MS, route_document};
 use crate::relay::RelayEvent;
-use crate::relay::codec::{LISTENER, PacketKind};
-use crate::relay::process::{Process, SERVICE};
+use crate::relay::codec::PacketKind;
+use crate::relay::process::Process;
 use crate::relay::upstream::Upstream;
 
 impl RelaySimulation {
@@ -38,27 +36,80 @@
             RelayEvent::Join(upstream) => self.list_upstream(*upstream, false),
             RelayEvent::Depart(upstream) => self.remove_upstream(*upstream),
             RelayEvent::Lose(loss_one_in) => self.network.loss_one_in = *loss_one_in,
+            RelayEvent::Route(services) => self.change_route(services),
+            RelayEvent::Cut(name) => self.with_process(name, |p| p.is_cut_off = true),
+            RelayEvent::Mend(name) => self.mend(name),
         }
     }
 
     pub(super) fn restart(&mut self, name: &str) {
         let now = self.now();
         // A starting process gets its state from a live peer, or from the store if there is none.
-        let live = |p: &&Process| p.name != name && !p.is_down && !p.is_paused;
+        let live = |p: &&Process| p.name != name && p.can_be_source();
         let peer = self.processes.iter().find(live);
-        let changes = peer.map_or_else(|| self.full_changes(), |peer| peer.full_changes(now));
+        let changes = peer.map_or_else(
+            || self.full_changes(),
+            |peer| peer.changes_since(now, FleetVersion::default()),
+        );
+        if !self.processes.iter().any(|p| live(&p)) {
+            let listed = |number: &u16| self.store_entries.contains_key(number);
+            let unlisted = self.upstreams.keys().copied().filter(|n| !listed(n));
+            self.forgotten
+                .extend(unlisted.map(|number| (number, u64::MAX)));
+            // Packets that went astray before all processes restarted don't count.
+            let flows = self.flows.values_mut();
+            flows.for_each(|flow| flow.strays.clear());
+        }
         self.with_process(name, |process| {
             process.restart();
             process.apply_changes(now, changes);
         });
     }
 
+    /// Brings a process that was cut off up to date, from a live peer or from the store.
+    fn mend(&mut self, name: &str) {
+        let now = self.now();
+        let Some(process) = self.processes.iter().find(|p| p.name == name) else {
+            return;
+        };
+        let live = |p: &&Process| p.name != name && p.can_be_source();
+        let peer = self.processes.iter().find(live);
+        let changes = peer.map_or_else(
+            || self.full_changes(),
+            |peer| peer.changes_since(now, process.version(now)),
+        );
+        self.with_process(name, |process| {
+            process.is_cut_off = false;
+            process.apply_changes(now, changes);
+        });
+    }
+
+    fn change_route(&mut self, services: &[(String, u32)]) {
+        let named = services.iter().map(|(name, _)| name.as_str().into());
+        self.named_services.extend(named);
+        let weighted: Vec<(&str, u32)> = services.iter().map(|(n, w)| (n.as_str(), *w)).collect();
+        self.routes = route_document(self.routes.generation.0 + 1, &weighted);
+        self.revision += 1;
+        if services.is_empty() {
+            let flows = self.flows.values_mut();
+            flows.for_each(|flow| flow.is_route_removed = true);
+        }
+        self.broadcast_changes(&Changes {
+            routes: Some(self.routes.clone()),
+            routes_complete_after: Some(self.revision - 1),
+            ..self.empty_changes()
+        });
+    }
+
     pub(super) fn list_upstream(&mut self, number: u16, draining: bool) {
         self.revision += 1;
         let entry = UpstreamEntry {
             draining,
-            ..upstream_entry(number, self.revision)
+            ..self.upstream_entry(number, self.revision)
         };
+        if let Some(known_from_ms) = self.forgotten.get_mut(&number) {
+            *known_from_ms = (self.now_ms + SETTLING_TIME_MS).min(*known_from_ms);
+        }
         self.store_entries.insert(number, entry.clone());
         self.broadcast_changes(&Changes {
             upstreams: vec![entry],
@@ -79,7 +130,10 @@
 
     pub(super) fn broadcast_changes(&mut self, changes: &Changes) {
         let now = self.now();
-        let live = self.processes.iter_mut().filter(|process| !process.is_down);
+        let live = self
+            .processes
+            .iter_mut()
+            .filter(|process| !process.is_down && !process.is_cut_off);
         live.for_each(|process| process.apply_changes(now, changes.clone()));
     }
 
@@ -92,22 +146,9 @@
     }
 
     pub(super) fn full_changes(&self) -> Changes {
-        let SocketAddr::V4(listener) = LISTENER else {
-            return Changes::default();
-        };
-        let route = Route {
-            listener,
-            services: [WeightedService::new(SERVICE, 1)].into_iter().collect(),
-            idempotent: true,
-            timeout: Duration::from_secs(1),
-            priority: 1,
-        };
         Changes {
             is_full: true,
-            routes: Some(RouteDocument {
-                generation: Generation(1),
-                routes: vec![route],
-            }),
+            routes: Some(self.routes.clone()),
             upstreams: self.store_entries.values().cloned().collect(),
             ..self.empty_changes()
         }
--- a/crates/plantainquay_trace/tests/relay_random_faults.rs
+++ b/crates/plantainquay_trace/tests/relay_random_faults.rs
@@ -2,6 +2,7 @@
 
 use plantainquay_trace::{RelayEvent, RelaySimulation};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const BALANCERS: u16 = 3;
 const UPSTREAMS: u16 = 5;
@@ -16,9 +17,17 @@
 /// Number of cases per run, unless `PLANTAINQUAY_CASES` sets another.
 const DEFAULT_CASES: u32 = 400;
 
-fn cases() -> u32 {
+/// Seed of the generator, unless the number of cases is given; such a run draws fresh cases.
+const DEFAULT_SEED: u64 = 1;
+
+fn config() -> ProptestConfig {
     let given = std::env::var("PLANTAINQUAY_CASES").ok();
-    given.and_then(|n| n.parse().ok()).unwrap_or(DEFAULT_CASES)
+    let cases = given.and_then(|n| n.parse().ok());
+    ProptestConfig {
+        cases: cases.unwrap_or(DEFAULT_CASES),
+        rng_seed: cases.map_or(RngSeed::Fixed(DEFAULT_SEED), |_| RngSeed::Random),
+        ..ProptestConfig::default()
+    }
 }
 
 fn balancer() -> impl Strategy<Value = String> {
@@ -33,6 +42,47 @@
     prop_oneof![balancer(), agent()]
 }
 
+/// Generates the events of a route whose services, weights and existence change.
+fn route_events() -> impl Strategy<Value = Vec<(u64, RelayEvent)>> {
+    let services = prop_oneof![
+        4 => Just(vec!["feed"]),
+        4 => Just(vec!["board"]),
+        2 => Just(vec!["feed", "board"]),
+        2 => Just(vec!["list"]),
+        1 => Just(vec![]),
+    ];
+    let route = (services, 0..3_u32).prop_map(|(names, weight)| {
+        let weighted = names.into_iter().enumerate();
+        let weighted = weighted.map(|(i, name)| (name.to_owned(), weight + u32::from(i == 0)));
+        RelayEvent::Route(weighted.collect())
+    });
+    let cut = (process(), 20..3_000_u64).prop_map(|(name, ms)| {
+        vec![
+            (0, RelayEvent::Cut(name.clone())),
+            (ms, RelayEvent::Mend(name)),
+        ]
+    });
+    let restart_all = Just(restart_all());
+    prop_oneof![
+        6 => route.prop_map(|event| vec![(0, event)]),
+        2 => cut,
+        1 => restart_all,
+    ]
+}
+
+/// Kills all processes and starts them again 300 ms later, so that nobody knows former routes.
+fn restart_all() -> Vec<(u64, RelayEvent)> {
+    let names = (1..=BALANCERS).map(|n| format!("b{n}"));
+    let names: Vec<String> = names
+        .chain((1..=UPSTREAMS).map(|n| format!("a{n}")))
+        .collect();
+    let kills = names.iter().map(|name| (0, RelayEvent::Kill(name.clone())));
+    let restarts = names
+        .iter()
+        .map(|name| (300, RelayEvent::Restart(name.clone())));
+    kills.chain(restarts).collect()
+}
+
 /// Generates a group of related events as `(delay, event)`, with delays from a common start.
 fn events() -> impl Strategy<Value = Vec<(u64, RelayEvent)>> {
     let flow = 1..=FLOWS;
@@ -63,26 +113,34 @@
 }
 
 fn trace() -> impl Strategy<Value = Vec<(u64, RelayEvent)>> {
-    let timed = (0..SPAN_MS, events());
-    prop::collection::vec(timed, 1..60).prop_map(|groups| {
-        let mut trace: Vec<(u64, RelayEvent)> = groups
-            .into_iter()
-            .flat_map(|(at, events)| events.into_iter().map(move |(delay, e)| (at + delay, e)))
-            .collect();
-        trace.sort_by_key(|(at, _)| *at);
-        // Each flow is opened once; events of a flow before its opening are dropped.
-        let mut opened = std::collections::BTreeSet::new();
-        trace.retain(|(_, event)| match event {
-            RelayEvent::Open(flow, _) => opened.insert(*flow),
-            RelayEvent::Repeat(flow, _) | RelayEvent::Send(flow, _) => opened.contains(flow),
-            _ => true,
-        });
-        trace
-    })
+    prop::collection::vec((0..SPAN_MS, events()), 1..60).prop_map(flatten)
+}
+
+/// Generates a trace in which the route changes as well.
+fn trace_with_routes() -> impl Strategy<Value = Vec<(u64, RelayEvent)>> {
+    let any_events = prop_oneof![6 => events().boxed(), 1 => route_events().boxed()];
+    prop::collection::vec((0..SPAN_MS, any_events), 1..60).prop_map(flatten)
+}
+
+/// Merges groups of events, each with its start, into one trace.
+fn flatten(groups: Vec<(u64, Vec<(u64, RelayEvent)>)>) -> Vec<(u64, RelayEvent)> {
+    let mut trace: Vec<(u64, RelayEvent)> = groups
+        .into_iter()
+        .flat_map(|(at, events)| events.into_iter().map(move |(delay, e)| (at + delay, e)))
+        .collect();
+    trace.sort_by_key(|(at, _)| *at);
+    // Each flow is opened once; events of a flow before its opening are dropped.
+    let mut opened = std::collections::BTreeSet::new();
+    trace.retain(|(_, event)| match event {
+        RelayEvent::Open(flow, _) => opened.insert(*flow),
+        RelayEvent::Repeat(flow, _) | RelayEvent::Send(flow, _) => opened.contains(flow),
+        _ => true,
+    });
+    trace
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: cases(), ..ProptestConfig::default() })]
+    #![proptest_config(config())]
 
     /// No flow is reset while its upstream holds it, and no flow is astray.
     #[test]
@@ -94,6 +152,19 @@
         prop_assert_eq!(summary.astray, 0, "{}", simulation.log());
     }
 
+    /// The same while the services of the route change; no flow is accepted by an upstream whose
+    /// service the route has never named.
+    #[test]
+    fn flows_outlive_route_changes(trace in trace_with_routes(), seed in any::<u64>()) {
+        let mut simulation =
+            RelaySimulation::with_services(BALANCERS, UPSTREAMS, &["feed", "board"], seed);
+        simulation.replay(&trace, SPAN_MS + RECOVERY_MS);
+        let summary = simulation.summary();
+        prop_assert_eq!(summary.broken, 0, "{}", simulation.log());
+        prop_assert_eq!(summary.astray, 0, "{}", simulation.log());
+        prop_assert_eq!(summary.misrouted, 0, "{}", simulation.log());
+    }
+
     /// After faults have ended, each held flow is reachable through balancer `b1`.
     #[test]
     fn held_flows_are_reached(trace in trace(), seed in any::<u64>()) {
--- a/crates/plantainquayd/src/relay.rs
+++ b/crates/plantainquayd/src/relay.rs
@@ -9,6 +9,7 @@
 use anyhow::Context;
 use log::Level;
 use ntex::time::{Millis, sleep};
+use plantainquay_core::Fleet;
 use plantainquay_net::relay::{
     AgentThreads, BalancerThreads, FleetState, PacketFormat, RelayHttpState, StoreReader, follow,
     serve_relay_http,
@@ -56,7 +57,8 @@
     let settings = load_relay_settings(&adapter.settings_path)?;
     init_log(settings.log_level.as_str())?;
     let clock = Clock::start();
-    let fleet = Arc::new(FleetState::new(settings.peer.port(), clock));
+    let fleet = FleetState::new(empty_fleet(&settings), settings.peer.port(), clock);
+    let fleet = Arc::new(fleet);
     let role = Arc::new(RelayThreads::start(&settings, &adapter, &fleet, clock)?);
     let leaving = Arc::new(AtomicBool::new(false));
     let http = Arc::new(RelayHttpState {
@@ -92,6 +94,16 @@
     std::process::exit(0)
 }
 
+/// Creates the replica of a process that knows nothing yet.
+fn empty_fleet(settings: &RelaySettings) -> Fleet {
+    let fleet = Fleet::default().with_flow_ttl(settings.flow_ttl);
+    if settings.first_start {
+        fleet.without_earlier_flows()
+    } else {
+        fleet
+    }
+}
+
 /// The threads of one role.
 #[derive(Debug)]
 enum RelayThreads {
--- a/crates/plantainquayd/tests/relay_settings.rs
+++ b/crates/plantainquayd/tests/relay_settings.rs
@@ -32,6 +32,8 @@
     "log_level: 'off'\nadvertised_ip: 10.1.9.10\nthreads: 4\nstop_grace_s: 12\n"
 )]
 #[case::bad_advertised_ip("", "", "advertised_ip: '10.1.0.10:7720'\n")]
+#[case::other_flow_lifetime("", "", "flow_ttl_s: 300\nfirst_start: true\n")]
+#[case::flow_lifetime_too_long("", "", "flow_ttl_s: 86401\n")]
 #[case::nothing(BALANCER, "", "")]
 #[case::bad_addresses(
     "role: balancer",
--- a/examples/slopes/relay.rs
+++ b/examples/slopes/relay.rs
@@ -54,7 +54,7 @@
     let mut ranking_time = Duration::ZERO;
     for change in 1..=CHANGES {
         let now = Timestamp::from_millis(u64::from(10 * change));
-        let peer_version = fleet.version();
+        let peer_version = fleet.version(now);
         let revision = peer_version.revision;
         let entry = entry(upstreams / 2, addresses, revision + 1);
         let update = Changes {
