Pass over a silent agent while an open flow is searched

Cause: found by the randomized traces. A balancer that searches a flow sends every packet of it to the owner in the first service; while that agent stands still, the flow waits, though another service or another agent of the same one could find it at once. Ruled out: asking all services at once, since each question costs a packet at every upstream. Change: an agent that hasn't answered within 150 ms is passed over at the caller's next packet: first for a service without silent agents, then for another agent of its own service.

--- a/crates/plantainquay_core/src/relay/balancer/cache.rs
+++ b/crates/plantainquay_core/src/relay/balancer/cache.rs
@@ -90,7 +90,7 @@
     /// Returns true if the search for the flow's service continues or starts over with this packet.
     pub(super) fn needs_search(&self, now: Timestamp) -> bool {
         let search = self.search.as_ref();
-        search.is_some_and(|search| search.awaits_packet() || search.is_over(now))
+        search.is_some_and(|search| search.awaits_packet(now) || search.is_over(now))
     }
 
     pub(super) fn with_search(self, search: Box<ServiceSearch>) -> Self {
--- a/crates/plantainquay_core/src/relay/balancer/event.rs
+++ b/crates/plantainquay_core/src/relay/balancer/event.rs
@@ -138,7 +138,7 @@
             if !entry.needs_search(self.now) && self.is_listed(service, agent) {
                 self.count(|c| c.cached_flow_packets += 1);
                 if let Some(search) = &mut entry.search {
-                    search.on_packet();
+                    search.on_packet(self.now);
                     shard.hold_packet(flow, bytes.clone());
                 }
                 return self.send_established(service, agent, bytes);
@@ -147,7 +147,7 @@
             search = entry.search.take().filter(|s| !s.is_over(self.now));
         }
         let mut search = search.unwrap_or_else(|| Box::new(ServiceSearch::new(self.now)));
-        search.on_packet();
+        search.on_packet(self.now);
         let view = Arc::clone(&self.view);
         let step = search.next_step(&SearchInput {
             now: self.now,
@@ -217,10 +217,6 @@
         let view = Arc::clone(&self.view);
         let own_revision = view.service(service).map_or(0, ServiceCandidates::revision);
         let revision = lost.upstreams_revision.unwrap_or(own_revision);
-        if revision < own_revision {
-            // The agent doesn't know every upstream yet; the caller's next packet asks again.
-            return self.actions.push(Action::Drop(DropReason::UnknownFlow));
-        }
         let Some(route) = view.route(tuple.destination) else {
             return;
         };
@@ -234,6 +230,11 @@
         if search.has_ended() {
             return;
         }
+        search.on_answer();
+        if revision < own_revision {
+            // The agent doesn't know every upstream yet; the caller's next packet asks again.
+            return self.actions.push(Action::Drop(DropReason::UnknownFlow));
+        }
         search.on_denied(self.now, service, revision);
         let step = search.next_step(&SearchInput {
             now: self.now,
--- a/crates/plantainquay_core/src/relay/balancer/search.rs
+++ b/crates/plantainquay_core/src/relay/balancer/search.rs
@@ -22,6 +22,9 @@
 const MAX_UNNAMED_SERVICES: usize = 16;
 /// Time for which further packets of a flow that no upstream holds are answered without a search.
 const RESULT_TTL: Duration = Duration::from_secs(1);
+/// Time after which an agent that hasn't answered is passed over: well below the caller's shortest
+/// retransmission timeout.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for which the denial of a service is valid; the store may list an upstream again that the
 /// service's agents didn't know.
 const DENIAL_TTL: Duration = Duration::from_secs(1);
@@ -39,6 +42,10 @@
     denials: SmallVec<[Denial; 2]>,
     /// Services asked since the caller's last packet.
     asked: usize,
+    /// The agent that was asked last, until it answers.
+    unanswered: Option<(Timestamp, SocketAddr)>,
+    /// Agents that didn't answer in time.
+    silent: SmallVec<[SocketAddr; 2]>,
     /// True if the search continues with the caller's next packet.
     awaits_packet: bool,
     /// Time at which the search ended because no upstream holds the flow.
@@ -86,15 +93,32 @@
             started_at: now,
             denials: SmallVec::new(),
             asked: 0,
+            unanswered: None,
+            silent: SmallVec::new(),
             awaits_packet: false,
             ended_at: None,
         }
     }
 
     /// Records a packet of the caller, for which services may be asked.
-    pub(super) fn on_packet(&mut self) {
+    pub(super) fn on_packet(&mut self, now: Timestamp) {
         self.asked = 0;
         self.awaits_packet = false;
+        if self.is_unanswered(now)
+            && let Some((_, agent)) = self.unanswered.take()
+        {
+            self.silent.push(agent);
+        }
+    }
+
+    /// Records that an agent has answered, whether or not its answer counts.
+    pub(super) fn on_answer(&mut self) {
+        self.unanswered = None;
+    }
+
+    fn is_unanswered(&self, now: Timestamp) -> bool {
+        let asked_at = self.unanswered.map(|(asked_at, _)| asked_at);
+        asked_at.is_some_and(|asked_at| now.since(asked_at) >= ANSWER_TIMEOUT)
     }
 
     /// Records that no upstream of a service holds the flow.
@@ -113,8 +137,8 @@
     }
 
     /// Returns true if the search continues with the caller's next packet.
-    pub(super) fn awaits_packet(&self) -> bool {
-        self.awaits_packet
+    pub(super) fn awaits_packet(&self, now: Timestamp) -> bool {
+        self.awaits_packet || self.is_unanswered(now)
     }
 
     /// Number of services that have denied the flow.
@@ -143,7 +167,10 @@
         self.denials.retain(|denial| denial.is_valid(input));
         let step = self.choose_step(input);
         match step {
-            SearchStep::Ask(..) => self.asked += 1,
+            SearchStep::Ask(_, agent) => {
+                self.asked += 1;
+                self.unanswered = Some((input.now, agent));
+            }
             SearchStep::AwaitPacket | SearchStep::Undetermined => self.awaits_packet = true,
             SearchStep::NotHeld => self.ended_at = Some(input.now),
         }
@@ -186,17 +213,22 @@
         self.denials.iter().any(|denial| denial.service == service)
     }
 
-    /// Asks the first service that has upstreams and hasn't denied the flow; `None` without one.
+    /// Asks the first service that has upstreams and hasn't denied the flow, after those with
+    /// fewer silent agents; `None` without one.
     fn ask_first(
         &self,
         input: &SearchInput<'_>,
         services: impl Iterator<Item = ServiceId>,
     ) -> Option<SearchStep> {
-        let mut unasked = services.filter(|service| !self.is_denied_by(*service));
-        let (service, owner) = unasked.find_map(|service| {
-            let owner = input.view.service(service)?.owner(input.flow)?;
-            Some((service, owner.agent))
-        })?;
+        let is_silent = |agent| self.silent.contains(&agent);
+        let unasked = services.filter(|service| !self.is_denied_by(*service));
+        let with_owner = unasked.filter_map(|service| {
+            let candidates = input.view.service(service)?;
+            let owner = candidates.owner_except(input.flow, is_silent)?;
+            let silent = candidates.all().filter(|c| is_silent(c.agent)).count();
+            Some((silent, service, owner.agent))
+        });
+        let (_, service, owner) = with_owner.min_by_key(|(silent, ..)| *silent)?;
         if self.asked >= MAX_SERVICES_PER_PACKET {
             return Some(SearchStep::AwaitPacket);
         }
--- a/crates/plantainquay_core/src/relay/view.rs
+++ b/crates/plantainquay_core/src/relay/view.rs
@@ -216,6 +216,19 @@
             .or_else(|| self.candidates.first())
     }
 
+    /// Returns the owner of the flow among the agents for which `is_excluded` returns false, or the
+    /// owner among all if there is none.
+    pub fn owner_except(
+        &self,
+        flow: FlowId,
+        is_excluded: impl Fn(SocketAddr) -> bool,
+    ) -> Option<&Candidate> {
+        let usable = self.listed().filter(|c| !is_excluded(c.agent));
+        usable
+            .min_by_key(|c| c.score(flow))
+            .or_else(|| self.owner(flow))
+    }
+
     /// Returns the first ready upstream in the flow's ranking that `is_usable` accepts.
     pub fn first_choice(
         &self,
--- a/crates/plantainquay_core/tests/relay/lookup.rs
+++ b/crates/plantainquay_core/tests/relay/lookup.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use plantainquay_core::relay::{Action, Actions, Packet, RelayView};
 use plantainquay_core::{FiveTuple, Fleet, Timestamp};
-use plantainquay_schema::{Changes, RelayBody};
+use plantainquay_schema::{Changes, Departure, RelayBody};
 use rstest::rstest;
 
 fn view(age: Option<Duration>) -> Arc<RelayView> {
@@ -52,3 +52,41 @@
     let actions = agent.on_message(now, process(2), denial, None);
     assert_eq!(is_lost(&actions), is_expected_lost);
 }
+
+/// An agent asks anew if its tick comes so late that it must have been paused: an upstream that has
+/// left the list had no chance to answer, and the denials of others are old.
+#[rstest]
+#[case::in_time(400, true)]
+#[case::after_a_pause(1_500, false)]
+fn paused_agent_asks_again(#[case] tick_ms: u64, #[case] is_expected_lost: bool) {
+    let agent = agent();
+    let mut fleet = Fleet::default();
+    let listed = Changes {
+        age: Some(Duration::ZERO),
+        upstreams: vec![upstream(1), upstream(2)],
+        ..Changes::default()
+    };
+    fleet.apply(Timestamp(0), listed);
+    let departed = Changes {
+        revision: 2,
+        departures: vec![Departure::without_entry("u2".into(), 2)],
+        ..Changes::default()
+    };
+    fleet.apply(Timestamp(0), departed);
+    // The grace period of the departed upstream has ended.
+    let now = Timestamp::from_millis(3_000);
+    fleet.expire(now, Timestamp(0));
+    let view = RelayView::build(&fleet, now, PEER_PORT, &RelayView::default());
+    agent.install(Arc::new(view));
+    let tuple = FiveTuple::tcp("198.51.100.1:40000", "192.0.2.1:80").expect("two addresses");
+    let data = packet(tuple, 10);
+    agent.on_message(now, process(9), established(b"data"), Some(&data));
+    let returned = Packet {
+        returned: true,
+        ..data
+    };
+    let actions = agent.on_upstream_packet(now, &returned, Bytes::from_static(b"data"));
+    assert!(!is_lost(&actions));
+    let actions = agent.on_tick(now + Duration::from_millis(tick_ms));
+    assert_eq!(is_lost(&actions), is_expected_lost);
+}
--- a/crates/plantainquay_core/tests/relay/search.rs
+++ b/crates/plantainquay_core/tests/relay/search.rs
@@ -275,6 +275,24 @@
     assert_eq!(site.send_unknown(700, 1), (0, true));
 }
 
+/// An agent that doesn't answer is passed over at the caller's next packet: first for another
+/// service, then for another agent of its own.
+#[rstest]
+fn silent_owner_is_passed_over() {
+    let mut site = Site::with_whole_history(&names(2));
+    site.list_upstream(0, 9, "s1", 1);
+    site.publish(0, &["s0"]);
+    site.publish(0, &["s1"]);
+    let (owner, service) = asked(&site.send(0, 1)).expect("the owner is asked");
+    assert_eq!(service, ServiceId::of("s1"));
+    assert_eq!(asked(&site.send(100, 1)), Some((owner, service)));
+    let (former_owner, former) = asked(&site.send(200, 1)).expect("the former service is asked");
+    assert_eq!(former, ServiceId::of("s0"));
+    let denied = site.answer(201, former_owner, former, lost(1, 1));
+    let (other_owner, other) = asked(&denied).expect("another agent is asked");
+    assert!(other == service && other_owner != owner);
+}
+
 /// An agent that doesn't know the newest upstream of its service can't deny the flow.
 #[rstest]
 fn denial_by_a_lagging_agent_is_ignored() {
