End lookups that wait for a confirmed list or for agents that have left

Others waited 300 ms for each agent that had left the list, again for each flow. Ruled out: taking the silence of a listed agent for a denial, since it proves nothing. Change: a lookup probes and is checked every 80 ms for a second, and starts over with a later packet; an agent that has left and was silent for 300 ms once is awaited for 60 ms from then on, until it is heard from. Lookups that end without a result name the silent agents in the log. Found by the randomized traces and mended: the timer of a trial ran on in the lookup, so that its probes were spent in half the time; a balancer that was paused believed denials that had waited in its socket. Traces found_probes_end_early, found_paused_balancer_reads_denial. Tests that failed before: lookup::lookup_ends_when_the_list_is_confirmed, lookup::silent_former_agent_is_awaited_once and the two traces.

--- a/crates/plantainquay_core/src/relay/agent.rs
+++ b/crates/plantainquay_core/src/relay/agent.rs
@@ -7,6 +7,7 @@
 mod pacing;
 mod upstream;
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -17,8 +18,8 @@
 use self::flow::FlowShard;
 use self::pacing::PacingQueue;
 use super::{
-    Action, Actions, Decision, DropReason, LoadMeter, Packet, RelayPolicy, RelayView,
-    ServiceCandidates,
+    Action, Actions, CandidateState, Decision, DropReason, LoadMeter, Packet, RelayPolicy,
+    RelayView, ServiceCandidates,
 };
 use crate::Timestamp;
 
@@ -43,6 +44,8 @@
     shards: Vec<Mutex<FlowShard>>,
     meter: Mutex<LoadMeter>,
     pacing: Mutex<PacingQueue>,
+    /// Agents that have left the list and didn't answer a lookup since.
+    silent_former_agents: Mutex<HashSet<SocketAddr>>,
     counters: Mutex<AgentCounters>,
 }
 
@@ -81,6 +84,7 @@
             shards: (0..shards).map(|_| Mutex::default()).collect(),
             meter: Mutex::default(),
             pacing: Mutex::default(),
+            silent_former_agents: Mutex::default(),
             counters: Mutex::default(),
             config,
         }
@@ -88,6 +92,12 @@
 
     /// Installs a new view.
     pub fn install(&self, view: Arc<RelayView>) {
+        let candidates = view.service(self.config.service);
+        let is_former = |agent: &SocketAddr| {
+            let candidate = candidates.and_then(|candidates| candidates.find(*agent));
+            candidate.is_some_and(|c| c.state == CandidateState::Former)
+        };
+        self.silent_former_agents.lock().retain(is_former);
         *self.view.write() = view;
     }
 
@@ -115,6 +125,7 @@
             self.counters.lock().wrong_service_messages += 1;
             return Actions::from_iter([Action::Drop(DropReason::WrongService)]);
         }
+        self.silent_former_agents.lock().remove(&from);
         let mut cx = Context::new(self, now);
         match (message.body, packet) {
             (RelayBody::Opening(opening), Some(packet)) => {
--- a/crates/plantainquay_core/src/relay/agent/established.rs
+++ b/crates/plantainquay_core/src/relay/agent/established.rs
@@ -46,7 +46,9 @@
             if !enqueue(&mut lookup.queue, established) {
                 cx.actions.push(Action::Drop(DropReason::LookupFull));
             }
-            lookup::resend_probes(cx, entry);
+            if lookup::continue_lookup(cx, entry) {
+                shard.timers.schedule(cx.now + lookup::PROBE_INTERVAL, flow);
+            }
         }
         FlowState::Remote(holder)
             if established.hops < MAX_HOPS && lookup::may_still_hold(cx, holder) =>
--- a/crates/plantainquay_core/src/relay/decision.rs
+++ b/crates/plantainquay_core/src/relay/decision.rs
@@ -62,6 +62,10 @@
     /// Every upstream denied the flow (microseconds since the first probe).
     #[error("lookup_lost")]
     LookupLost,
+    /// A lookup ended without a result, since the named agent and maybe others didn't answer
+    /// (agents that didn't answer).
+    #[error("lookup_unanswered")]
+    LookupUnanswered,
     /// The upstream lost a flow that it held.
     #[error("upstream_lost_flow")]
     UpstreamLostFlow,
--- a/crates/plantainquay_core/tests/relay/search.rs
+++ b/crates/plantainquay_core/tests/relay/search.rs
@@ -1,5 +1,6 @@
 //! Search of a balancer for the service at which an open flow is.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -22,6 +23,8 @@
 const LISTENER_PORT: u16 = 80;
 /// Longest lifetime of a flow, in milliseconds.
 const FLOW_TTL_MS: u64 = 60_000;
+/// Interval of a balancer's ticks, in milliseconds.
+const TICK_MS: usize = 50;
 /// Maximum number of rounds of question and answer before a test gives up.
 const MAX_ROUNDS: usize = 1_000;
 
@@ -31,6 +34,7 @@
     balancer: RelayBalancer,
     view: Arc<RelayView>,
     generation: u64,
+    last_tick_ms: Cell<u64>,
 }
 
 impl Site {
@@ -53,6 +57,7 @@
             }),
             view: Arc::default(),
             generation: 0,
+            last_tick_ms: Cell::new(0),
         };
         let upstreams = services
             .iter()
@@ -116,7 +121,16 @@
         self.apply(at_ms, changes);
     }
 
+    /// Runs the balancer's ticks, by which it knows that it wasn't paused.
+    fn tick_until(&self, at_ms: u64) {
+        for ms in (self.last_tick_ms.get()..=at_ms).step_by(TICK_MS) {
+            self.balancer.on_tick(Timestamp::from_millis(ms));
+            self.last_tick_ms.set(ms);
+        }
+    }
+
     fn send(&self, at_ms: u64, caller: u16) -> Actions {
+        self.tick_until(at_ms);
         let now = Timestamp::from_millis(at_ms);
         let packet = packet(tuple(caller), 10);
         let view_age = || self.fleet.age(now);
@@ -126,6 +140,7 @@
 
     /// Delivers the answer of the agent that received a packet.
     fn answer(&self, at_ms: u64, from: SocketAddr, service: ServiceId, body: RelayBody) -> Actions {
+        self.tick_until(at_ms);
         let now = Timestamp::from_millis(at_ms);
         let message = RelayMessage { service, body };
         let view_age = || self.fleet.age(now);
--- a/crates/plantainquay_trace/src/relay/network.rs
+++ b/crates/plantainquay_trace/src/relay/network.rs
@@ -28,6 +28,13 @@
     },
     /// A packet to a caller.
     ToCaller { packet: Bytes },
+    /// A caller's retransmission timer.
+    RetransmissionTimer {
+        flow: u16,
+        sequence: u16,
+        /// Number of earlier transmissions.
+        transmissions: u32,
+    },
 }
 
 /// Queue of arrivals, ordered by time and then by insertion.
--- a/crates/plantainquay_trace/src/relay/process.rs
+++ b/crates/plantainquay_trace/src/relay/process.rs
@@ -24,6 +24,8 @@
     pub(super) role: Role,
     pub(super) is_paused: bool,
     pub(super) is_down: bool,
+    /// End of the last pause.
+    pub(super) resumed_at_ms: Option<u64>,
     /// True while the process receives no changes.
     pub(super) is_cut_off: bool,
     policy: RelayPolicy,
@@ -49,6 +51,7 @@
             role: Role::new(name.starts_with('a'), address, service, policy),
             is_paused: false,
             is_down: false,
+            resumed_at_ms: None,
             is_cut_off: false,
             policy,
             service,
--- a/crates/plantainquay_trace/src/relay/simulation.rs
+++ b/crates/plantainquay_trace/src/relay/simulation.rs
@@ -30,6 +30,12 @@
 const CONFIRM_INTERVAL_MS: u64 = 800;
 /// Time in which decisions that were taken before a change may still have effects, in milliseconds.
 const SETTLING_TIME_MS: u64 = 100;
+/// Time after which a caller retransmits unanswered data; doubles with each transmission.
+const RETRANSMISSION_TIMEOUT_MS: u64 = 200;
+/// Maximum number of transmissions of one data packet.
+const MAX_TRANSMISSIONS: u32 = 4;
+/// Time after a balancer's pause in which packets that went astray through it don't count.
+const STABLE_TIME_MS: u64 = 4_000;
 
 /// Minimum number of stray packets, with none to the right upstream, for a flow to count as astray.
 const ASTRAY_MIN_PACKETS: usize = 3;
@@ -53,6 +59,9 @@
     /// Upstreams that the store didn't list when the last process that knew them ended, with the
     /// time at which decisions take the store's new entry into account.
     forgotten: BTreeMap<u16, u64>,
+    /// Upstreams that the store lists again, or whose agents run again, with the time at which
+    /// decisions take it into account.
+    unreachable_until_ms: BTreeMap<u16, u64>,
     /// Services that the route has named at any time.
     named_services: BTreeSet<Name>,
     flows: BTreeMap<u16, Flow>,
@@ -79,6 +88,10 @@
     astray_since_ms: u64,
     /// Time of the first answer.
     answered_at_ms: Option<u64>,
+    /// Highest sequence number that was answered.
+    last_answered: u16,
+    /// The balancer that received the caller's last packet.
+    last_balancer: usize,
     /// True if the flow's route was removed while the flow was open.
     is_route_removed: bool,
 }
@@ -149,6 +162,7 @@
             named_services: [first_service].into(),
             services,
             forgotten: BTreeMap::new(),
+            unreachable_until_ms: BTreeMap::new(),
             flows: BTreeMap::new(),
             log: String::new(),
             summary: RelaySummary::default(),
@@ -271,6 +285,11 @@
             Arrival::FromUpstream { packet, .. } if self.is_from_past_incarnation(packet) => None,
             Arrival::FromUpstream { agent, .. } => Some(*agent),
             Arrival::ToCaller { packet } => return self.receive_at_caller(packet),
+            Arrival::RetransmissionTimer {
+                flow,
+                sequence,
+                transmissions,
+            } => return self.retransmit_data(*flow, *sequence, *transmissions),
         };
         let Some(index) = index else {
             return;
--- a/crates/plantainquay_trace/src/relay/simulation/faults.rs
+++ b/crates/plantainquay_trace/src/relay/simulation/faults.rs
@@ -13,6 +13,18 @@
 
 impl RelaySimulation {
     pub(super) fn apply(&mut self, event: &RelayEvent) {
+        let numbers = self.upstreams.keys().copied();
+        let unreachable: Vec<u16> = numbers.filter(|n| self.is_unreachable(*n)).collect();
+        self.apply_event(event);
+        for number in unreachable {
+            if !self.is_unreachable(number) {
+                let until_ms = self.now_ms + SETTLING_TIME_MS;
+                self.unreachable_until_ms.insert(number, until_ms);
+            }
+        }
+    }
+
+    fn apply_event(&mut self, event: &RelayEvent) {
         match event {
             RelayEvent::Open(flow, via) => {
                 self.flows.insert(*flow, Flow::default());
@@ -23,7 +35,13 @@
             RelayEvent::Restart(name) => self.restart(name),
             RelayEvent::Kill(name) => self.with_process(name, |p| p.is_down = true),
             RelayEvent::Pause(name) => self.with_process(name, |p| p.is_paused = true),
-            RelayEvent::Resume(name) => self.with_process(name, |p| p.is_paused = false),
+            RelayEvent::Resume(name) => {
+                let now_ms = self.now_ms;
+                self.with_process(name, |p| {
+                    p.is_paused = false;
+                    p.resumed_at_ms = Some(now_ms);
+                });
+            }
             RelayEvent::Crash(upstream) => self.with_upstream(*upstream, Upstream::crash),
             RelayEvent::Down(upstream) => self.with_upstream(*upstream, |u| {
                 u.crash();
