--- a/crates/plantainquay_core/src/fleet/service_history.rs
+++ b/crates/plantainquay_core/src/fleet/service_history.rs
@@ -70,11 +70,23 @@
     /// one that was named last first.
     #[must_use]
     pub fn former(&self, now: Timestamp, listener: SocketAddr) -> SmallVec<[ServiceId; 2]> {
+        let records = self.recent_records(now, listener);
+        records.into_iter().map(|record| record.id).collect()
+    }
+
+    /// Returns the names of the services that [`Self::former`] returns.
+    #[must_use]
+    pub fn former_names(&self, now: Timestamp, listener: SocketAddr) -> SmallVec<[&Name; 2]> {
+        let records = self.recent_records(now, listener);
+        records.into_iter().map(|record| &record.name).collect()
+    }
+
+    fn recent_records(&self, now: Timestamp, listener: SocketAddr) -> SmallVec<[&Record; 2]> {
         let records = self.former.get(&listener).into_iter().flatten();
         let mut recent: SmallVec<[&Record; 2]> =
             records.filter(|r| self.is_relevant(now, r)).collect();
         recent.sort_by_key(|record| std::cmp::Reverse(record.named_until));
-        recent.into_iter().map(|record| record.id).collect()
+        recent
     }
 
     /// Returns the time for which no former service is missing, at most the lifetime of a flow.
--- a/crates/plantainquayctl/src/explain.rs
+++ b/crates/plantainquayctl/src/explain.rs
@@ -63,6 +63,19 @@
         return text_report(Outcome::Failed, &text);
     };
     push_line(&mut text, &describe_route(route, service));
+    let history = view.service_history();
+    let former = history.former_names(now, tuple.destination);
+    if !former.is_empty() {
+        let names: Vec<&str> = former.iter().map(|name| name.as_str()).collect();
+        let span_s = history.span(now).as_secs();
+        push_line(
+            &mut text,
+            &format!(
+                "an open flow may be at {} as well (known for the last {span_s} s)",
+                names.join(", ")
+            ),
+        );
+    }
     let ranking = view.service(service.id).map(|s| describe_ranking(s, flow));
     let (lines, has_ready) = ranking.unwrap_or_default();
     text.push_str(&lines);
--- a/crates/plantainquayctl/tests/explain.rs
+++ b/crates/plantainquayctl/tests/explain.rs
@@ -5,7 +5,8 @@
 
 use plantainquay_core::FiveTuple;
 use plantainquay_schema::{
-    Changes, Generation, Incarnation, Route, RouteDocument, UpstreamEntry, WeightedService,
+    Changes, FormerService, FormerServices, Generation, Incarnation, Route, RouteDocument,
+    UpstreamEntry, WeightedService,
 };
 use plantainquayctl::{OutputFormat, explain, explain_flow};
 use rstest::{Context, rstest};
@@ -52,6 +53,7 @@
                 route(8080, &[("desk", 1)]),
                 route(8443, &[("desk", 90), ("maps", 10)]),
                 route(9090, &[("nobody", 1)]),
+                route(9443, &[("maps", 1)]),
             ],
         }),
         is_full: true,
@@ -61,6 +63,14 @@
             upstream_entry(3, "desk", false),
             upstream_entry(4, "maps", false),
         ],
+        former_services: Some(FormerServices {
+            span: Duration::from_mins(1),
+            services: vec![FormerService {
+                listener: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 9443),
+                service: "desk".into(),
+                age: Duration::from_secs(4),
+            }],
+        }),
         ..Changes::default()
     }
 }
@@ -69,6 +79,7 @@
 #[case::one_service("198.18.0.1:8080")]
 #[case::split("198.18.0.1:8443")]
 #[case::no_upstream("198.18.0.1:9090")]
+#[case::former_service("198.18.0.1:9443")]
 #[case::no_route("198.18.0.1:1")]
 fn flow_is_explained(#[context] cx: Context, #[case] listener: &str) {
     let tuple = FiveTuple::tcp("100.64.0.7:40001", listener).expect("two addresses");
