Keep the result of a search that ends without a question

Cause: found while reading. A search that ends at the caller's packet, since every denial is in hand and the view has been confirmed meanwhile, was forgotten, so that each further packet of the flow asked again. Change: the search stays with the flow, as after any other end. Test that failed before: search::unconfirmed_view_is_no_proof, one question in place of none.

--- a/crates/plantainquay_core/src/relay/balancer/event.rs
+++ b/crates/plantainquay_core/src/relay/balancer/event.rs
@@ -158,25 +158,22 @@
             flow,
             last_service,
         });
-        match step {
-            SearchStep::Ask(service, owner) => {
-                let mut entry = CacheEntry::new(self.now, packet.tuple, service, owner);
-                entry.on_caller_packet(self.now, packet.ack);
-                shard.insert(flow, entry.with_search(search));
-                shard.hold_packet(flow, bytes.clone());
-                self.count(|c| c.owner_packets += 1);
-                self.record_decision(packet.tuple, Decision::SentToOwner, owner, None);
-                self.send_established(service, owner, bytes, true);
-            }
-            SearchStep::NotHeld => {
-                self.reset(packet.tuple, packet.ack, ResetReason::UnknownFlow);
-            }
-            SearchStep::AwaitPacket | SearchStep::Undetermined => {
-                if let Some(entry) = shard.get_mut(flow, &packet.tuple) {
-                    entry.search = Some(search);
-                }
-                self.drop_undetermined();
-            }
+        if let SearchStep::Ask(service, owner) = step {
+            let mut entry = CacheEntry::new(self.now, packet.tuple, service, owner);
+            entry.on_caller_packet(self.now, packet.ack);
+            shard.insert(flow, entry.with_search(search));
+            shard.hold_packet(flow, bytes.clone());
+            self.count(|c| c.owner_packets += 1);
+            self.record_decision(packet.tuple, Decision::SentToOwner, owner, None);
+            return self.send_established(service, owner, bytes, true);
+        }
+        if let Some(entry) = shard.get_mut(flow, &packet.tuple) {
+            entry.search = Some(search);
+        }
+        if step == SearchStep::NotHeld {
+            self.reset(packet.tuple, packet.ack, ResetReason::UnknownFlow);
+        } else {
+            self.drop_undetermined();
         }
     }
 
--- a/crates/plantainquay_core/tests/relay/search.rs
+++ b/crates/plantainquay_core/tests/relay/search.rs
@@ -288,6 +288,8 @@
     assert_eq!(site.send_unknown(500, 1), (1, false));
     site.confirm(600);
     assert_eq!(site.send_unknown(700, 1), (0, true));
+    // The result holds for the packets that follow.
+    assert_eq!(site.send_unknown(800, 1), (0, true));
 }
 
 /// An agent that doesn't answer is passed over at the caller's next packet: first for another
