--- a/crates/plantainquay_core/src/relay/agent/lookup.rs
+++ b/crates/plantainquay_core/src/relay/agent/lookup.rs
@@ -283,7 +283,7 @@
 /// Returns true if the lookup waits for an agent that may hold the flow.
 ///
 /// An agent that has left the list is awaited for a limited time, which is shorter while it stays
-/// silent.
+/// silent. If the lookup no longer waits, the agents that haven't answered are recorded as silent.
 fn awaits_answer(cx: &Context<'_>, candidates: &ServiceCandidates, lookup: &Lookup) -> bool {
     let own = cx.own_address();
     let elapsed = cx.now.since(lookup.started_at);
