Use one piece for what the search and the lookup wrote twice

Cause: found reading the whole change. Four lookup tests start through one function; their assertions are the same. Ruled out for now: one timer a flow in FlowTimers, which would make Lookup::next_tick_at needless, since it changes when timers of trials and openings fire.

--- a/crates/plantainquay_core/src/fleet.rs
+++ b/crates/plantainquay_core/src/fleet.rs
@@ -287,9 +287,9 @@
             }
             keep
         });
-        let mut any_service_expired = false;
-        if self.service_history.has_expired(now) {
-            any_service_expired = Arc::make_mut(&mut self.service_history).expire(now);
+        let any_service_expired = self.service_history.has_expired(now);
+        if any_service_expired {
+            Arc::make_mut(&mut self.service_history).expire(now);
         }
         any_grace_period_ended || any_service_expired || self.departed.len() != before
     }
--- a/crates/plantainquay_core/src/fleet/route_history.rs
+++ b/crates/plantainquay_core/src/fleet/route_history.rs
@@ -70,8 +70,8 @@
 
 /// Computes the changes from `old` to `new`.
 pub(super) fn diff(old: &RouteDocument, new: &RouteDocument) -> RouteChanges {
-    let old_routes = by_listener(old);
-    let new_routes = by_listener(new);
+    let old_routes = by_listener(&old.routes);
+    let new_routes = by_listener(&new.routes);
     let is_changed = |route: &&&Route| old_routes.get(&route.listener) != Some(*route);
     let mut put: Vec<Route> = new_routes
         .values()
@@ -103,6 +103,7 @@
     }
 }
 
-fn by_listener(document: &RouteDocument) -> HashMap<SocketAddrV4, &Route> {
-    document.routes.iter().map(|r| (r.listener, r)).collect()
+/// Routes by listener; of several with one listener, the last is effective.
+pub(super) fn by_listener(routes: &[Route]) -> HashMap<SocketAddrV4, &Route> {
+    routes.iter().map(|r| (r.listener, r)).collect()
 }
--- a/crates/plantainquay_core/src/fleet/service_history.rs
+++ b/crates/plantainquay_core/src/fleet/service_history.rs
@@ -12,6 +12,7 @@
 };
 use smallvec::SmallVec;
 
+use super::route_history::by_listener;
 use crate::Timestamp;
 use crate::time::SignedTimestamp;
 
@@ -46,6 +47,13 @@
     Gap,
 }
 
+impl Record {
+    /// Returns true if a flow can still be open that opened while the route named the service.
+    fn is_relevant(&self, now: Timestamp, flow_ttl: Duration) -> bool {
+        self.named_until.age(now) < flow_ttl
+    }
+}
+
 impl Default for ServiceHistory {
     fn default() -> Self {
         Self {
@@ -83,8 +91,9 @@
 
     fn recent_records(&self, now: Timestamp, listener: SocketAddr) -> SmallVec<[&Record; 2]> {
         let records = self.former.get(&listener).into_iter().flatten();
-        let mut recent: SmallVec<[&Record; 2]> =
-            records.filter(|r| self.is_relevant(now, r)).collect();
+        let mut recent: SmallVec<[&Record; 2]> = records
+            .filter(|r| r.is_relevant(now, self.flow_ttl))
+            .collect();
         recent.sort_by_key(|record| std::cmp::Reverse(record.named_until));
         recent
     }
@@ -105,26 +114,22 @@
     /// Records the services that `changes` remove from the routes of `old`.
     pub(super) fn record(&mut self, now: Timestamp, old: &RouteDocument, changes: &RouteChanges) {
         let removed: HashSet<SocketAddrV4> = changes.removed.iter().copied().collect();
-        let put: HashMap<SocketAddrV4, _> = changes
-            .put
-            .iter()
-            .map(|r| (r.listener, &r.services))
-            .collect();
+        let put = by_listener(&changes.put);
         let named_until = SignedTimestamp::from(now);
         for route in &old.routes {
-            let new_services = put.get(&route.listener);
-            if new_services.is_none() && !removed.contains(&route.listener) {
+            let new_route = put.get(&route.listener);
+            if new_route.is_none() && !removed.contains(&route.listener) {
                 continue;
             }
-            let is_named = |id| new_services.is_some_and(|s| s.iter().any(|s| s.id == id));
+            let is_named = |id| new_route.is_some_and(|route| route.names(id));
             for service in route.services.iter().filter(|s| !is_named(s.id)) {
                 let name = service.name.clone();
                 self.insert(route.listener.into(), name, named_until);
             }
         }
-        for (listener, services) in put {
-            for service in services {
-                self.remove(listener.into(), service.id);
+        for route in &changes.put {
+            for service in &route.services {
+                self.remove(route.listener.into(), service.id);
             }
         }
     }
@@ -174,16 +179,12 @@
         if services.is_empty() {
             return false;
         }
-        let named: HashMap<SocketAddrV4, _> = routes
-            .routes
-            .iter()
-            .map(|r| (r.listener, &r.services))
-            .collect();
+        let routes = by_listener(&routes.routes);
         let mut any_inserted = false;
         for former in services {
             let id = ServiceId::of(former.service.as_str());
-            let named = named.get(&former.listener);
-            if !named.is_some_and(|services| services.iter().any(|s| s.id == id)) {
+            let route = routes.get(&former.listener);
+            if !route.is_some_and(|route| route.names(id)) {
                 let named_until = SignedTimestamp::before(now, former.age);
                 any_inserted |= self.insert(former.listener.into(), former.service, named_until);
             }
@@ -212,28 +213,26 @@
         })
     }
 
-    /// Removes services at which no flow can be open any more; returns true if there were any.
-    pub(super) fn expire(&mut self, now: Timestamp) -> bool {
+    /// Removes services at which no flow can be open any more.
+    pub(super) fn expire(&mut self, now: Timestamp) {
         let flow_ttl = self.flow_ttl;
-        let mut any_removed = false;
         self.former.retain(|_, records| {
-            let before = records.len();
-            records.retain(|record| record.named_until.age(now) < flow_ttl);
-            any_removed |= records.len() < before;
+            records.retain(|record| record.is_relevant(now, flow_ttl));
             !records.is_empty()
         });
-        any_removed
     }
 
     /// Returns true if [`Self::expire`] would remove a service.
     pub(super) fn has_expired(&self, now: Timestamp) -> bool {
         let mut records = self.former.values().flatten();
-        records.any(|record| !self.is_relevant(now, record))
+        records.any(|record| !record.is_relevant(now, self.flow_ttl))
     }
 
     fn all(&self, now: Timestamp) -> impl Iterator<Item = FormerService> {
         self.former.iter().flat_map(move |(listener, records)| {
-            let relevant = records.iter().filter(move |r| self.is_relevant(now, r));
+            let relevant = records
+                .iter()
+                .filter(move |r| r.is_relevant(now, self.flow_ttl));
             relevant.filter_map(move |record| {
                 let SocketAddr::V4(listener) = *listener else {
                     return None;
@@ -247,10 +246,6 @@
         })
     }
 
-    fn is_relevant(&self, now: Timestamp, record: &Record) -> bool {
-        record.named_until.age(now) < self.flow_ttl
-    }
-
     /// Adds a service or prolongs its record; returns true if it was missing.
     fn insert(&mut self, listener: SocketAddr, name: Name, named_until: SignedTimestamp) -> bool {
         let id = ServiceId::of(name.as_str());
--- a/crates/plantainquay_core/src/relay/agent/lookup.rs
+++ b/crates/plantainquay_core/src/relay/agent/lookup.rs
@@ -137,7 +137,7 @@
 /// Probes every other agent that hasn't denied the flow; returns the number of probes.
 fn send_probes(cx: &mut Context<'_>, lookup: &mut Lookup) -> u64 {
     lookup.last_round_at = cx.now;
-    let others = unanswered(cx, lookup);
+    let others: SmallVec<[SocketAddr; 16]> = unanswered(cx, lookup).map(|c| c.agent).collect();
     for agent in &others {
         cx.send(*agent, RelayBody::Probe(lookup.probe.clone()));
     }
@@ -145,13 +145,10 @@
 }
 
 /// Returns the other agents that haven't denied the flow.
-fn unanswered(cx: &Context<'_>, lookup: &Lookup) -> SmallVec<[SocketAddr; 16]> {
+fn unanswered<'a>(cx: &'a Context<'_>, lookup: &'a Lookup) -> impl Iterator<Item = &'a Candidate> {
     let own = cx.own_address();
     let candidates = cx.candidates().into_iter().flat_map(ServiceCandidates::all);
-    candidates
-        .map(|candidate| candidate.agent)
-        .filter(|agent| *agent != own && !lookup.denied_by.contains(agent))
-        .collect()
+    candidates.filter(move |c| c.agent != own && !lookup.denied_by.contains(&c.agent))
 }
 
 pub(super) fn on_located(cx: &mut Context<'_>, from: SocketAddr, tuple: FiveTuple) {
@@ -249,8 +246,10 @@
     let FlowState::LookingUp(lookup) = &entry.state else {
         return;
     };
-    let silent = unanswered(cx, lookup);
-    let (first, count) = (silent.first().copied(), silent.len() as u64);
+    let first = unanswered(cx, lookup)
+        .next()
+        .map(|candidate| candidate.agent);
+    let count = unanswered(cx, lookup).count() as u64;
     cx.record_decision(entry.tuple, Decision::LookupUnanswered, first, count);
 }
 
@@ -262,7 +261,7 @@
     let Some(candidates) = cx.candidates().filter(|_| cx.view.is_confirmed()) else {
         return;
     };
-    if awaits_answer(cx, candidates, lookup) {
+    if awaits_answer(cx, lookup) {
         return;
     }
     let upstreams_revision = candidates.revision();
@@ -284,12 +283,8 @@
 ///
 /// An agent that has left the list is awaited for a limited time, which is shorter while it stays
 /// silent. If the lookup no longer waits, the agents that haven't answered are recorded as silent.
-fn awaits_answer(cx: &Context<'_>, candidates: &ServiceCandidates, lookup: &Lookup) -> bool {
-    let own = cx.own_address();
+fn awaits_answer(cx: &Context<'_>, lookup: &Lookup) -> bool {
     let elapsed = cx.now.since(lookup.started_at);
-    let is_unanswered = |candidate: &&Candidate| {
-        candidate.agent != own && !lookup.denied_by.contains(&candidate.agent)
-    };
     let mut silent_former = cx.agent.silent_former_agents.lock();
     let is_awaited = |candidate: &Candidate| match candidate.state {
         CandidateState::Former if silent_former.contains(&candidate.agent) => {
@@ -298,11 +293,10 @@
         CandidateState::Former => elapsed < FORMER_AGENT_TIMEOUT,
         CandidateState::Ready | CandidateState::Draining => true,
     };
-    if candidates.all().filter(is_unanswered).any(is_awaited) {
+    if unanswered(cx, lookup).any(is_awaited) {
         return true;
     }
-    let silent = candidates.all().filter(is_unanswered);
-    silent_former.extend(silent.map(|candidate| candidate.agent));
+    silent_former.extend(unanswered(cx, lookup).map(|candidate| candidate.agent));
     false
 }
 
--- a/crates/plantainquay_core/src/relay/balancer/event.rs
+++ b/crates/plantainquay_core/src/relay/balancer/event.rs
@@ -12,7 +12,7 @@
 use smallvec::smallvec;
 
 use super::cache::{CacheEntry, PendingOpening};
-use super::search::{MAX_VIEW_AGE, SearchInput, SearchStep, ServiceSearch};
+use super::search::{MAX_VIEW_AGE, SearchInput, SearchStep, ServiceSearch, is_confirmed_since};
 use super::{BalancerCounters, RelayBalancer};
 use crate::Timestamp;
 use crate::relay::{
@@ -66,8 +66,7 @@
     fn is_confirmed_since_first_packet(&self, view_age: Option<Duration>, packet: &Packet) -> bool {
         let mut shard = self.balancer.shard(packet.tuple.flow_id());
         let first_packet_at = shard.first_unrouted_packet_at(self.now, packet.tuple.flow_id());
-        let elapsed = first_packet_at.map(|at| self.now.since(at));
-        elapsed.is_some_and(|elapsed| view_age.is_some_and(|age| age <= elapsed))
+        first_packet_at.is_some_and(|at| is_confirmed_since(at, self.now, view_age))
     }
 
     pub(super) fn on_opening(&mut self, route: &Route, packet: &Packet, bytes: Bytes) {
@@ -149,15 +148,7 @@
         }
         let mut search = search.unwrap_or_else(|| Box::new(ServiceSearch::new(self.now)));
         search.on_packet(self.now);
-        let view = Arc::clone(&self.view);
-        let step = search.next_step(&SearchInput {
-            now: self.now,
-            view: &view,
-            view_age: view_age(),
-            route,
-            flow,
-            last_service,
-        });
+        let step = self.next_step(&mut search, view_age(), route, flow, last_service);
         if let SearchStep::Ask(service, owner) = step {
             let mut entry = CacheEntry::new(self.now, packet.tuple, service, owner);
             entry.on_caller_packet(self.now, packet.ack);
@@ -235,14 +226,7 @@
             return self.actions.push(Action::Drop(DropReason::UnknownFlow));
         }
         search.on_denied(self.now, service, revision);
-        let step = search.next_step(&SearchInput {
-            now: self.now,
-            view: &view,
-            view_age: view_age(),
-            route,
-            flow,
-            last_service: None,
-        });
+        let step = self.next_step(search, view_age(), route, flow, None);
         let denials = search.denial_count();
         match step {
             SearchStep::Ask(service, owner) => {
@@ -264,6 +248,24 @@
         }
     }
 
+    fn next_step(
+        &self,
+        search: &mut ServiceSearch,
+        view_age: Option<Duration>,
+        route: &Route,
+        flow: FlowId,
+        last_service: Option<ServiceId>,
+    ) -> SearchStep {
+        search.next_step(&SearchInput {
+            now: self.now,
+            view: &self.view,
+            view_age,
+            route,
+            flow,
+            last_service,
+        })
+    }
+
     /// Drops a packet whose flow may be at a service that isn't known or asked.
     fn drop_undetermined(&mut self) {
         self.count(|c| c.undetermined_packets += 1);
--- a/crates/plantainquay_core/src/relay/balancer/search.rs
+++ b/crates/plantainquay_core/src/relay/balancer/search.rs
@@ -186,9 +186,8 @@
             return step;
         }
         // The route as it was at the first packet is known, and so are the former services.
-        let is_confirmed_since_start = is_confirmed_since(input, self.started_at);
-        let knows_services =
-            input.view.service_history().is_complete(input.now) && is_confirmed_since_start;
+        let is_confirmed = is_confirmed_since(self.started_at, input.now, input.view_age);
+        let knows_services = input.view.service_history().is_complete(input.now) && is_confirmed;
         if !knows_services {
             let is_unasked = |service: &ServiceId| !self.is_denied_by(*service);
             let mut unnamed: SmallVec<[ServiceId; 4]> =
@@ -244,8 +243,11 @@
     }
 }
 
-/// Returns true if the view matched the store at `time` or later.
-fn is_confirmed_since(input: &SearchInput<'_>, time: Timestamp) -> bool {
-    let elapsed = input.now.since(time);
-    input.view_age.is_some_and(|age| age <= elapsed)
+/// Returns true if a view of this age matched the store at `time` or later.
+pub(super) fn is_confirmed_since(
+    time: Timestamp,
+    now: Timestamp,
+    view_age: Option<Duration>,
+) -> bool {
+    view_age.is_some_and(|age| age <= now.since(time))
 }
--- a/crates/plantainquay_core/tests/relay/lookup.rs
+++ b/crates/plantainquay_core/tests/relay/lookup.rs
@@ -5,7 +5,7 @@
 
 use crate::support::{PEER_PORT, agent, established, message, packet, process, upstream};
 use bytes::Bytes;
-use plantainquay_core::relay::{Action, Actions, Packet, RelayView};
+use plantainquay_core::relay::{Action, Actions, Packet, RelayAgent, RelayView};
 use plantainquay_core::{FiveTuple, Fleet, Timestamp};
 use plantainquay_schema::{Changes, Departure, EstablishedPacket, RelayBody};
 use rstest::rstest;
@@ -44,6 +44,21 @@
     Arc::new(view)
 }
 
+fn tuple(caller: &str) -> FiveTuple {
+    FiveTuple::tcp(caller, "192.0.2.1:80").expect("two addresses")
+}
+
+/// Sends a packet of a flow to the agent, whose upstream returns it.
+fn start_lookup(agent: &RelayAgent, now: Timestamp, tuple: FiveTuple) -> Actions {
+    let data = packet(tuple, 10);
+    agent.on_message(now, process(9), established(b"data"), Some(&data));
+    let returned = Packet {
+        returned: true,
+        ..data
+    };
+    agent.on_upstream_packet(now, &returned, Bytes::from_static(b"data"))
+}
+
 fn is_lost(actions: &Actions) -> bool {
     actions.iter().any(|action| {
         matches!(action, Action::Send(_, message) if matches!(message.body, RelayBody::Lost(_)))
@@ -60,16 +75,9 @@
 ) {
     let agent = agent();
     agent.install(view(age));
-    let tuple = FiveTuple::tcp("198.51.100.1:40000", "192.0.2.1:80").expect("two addresses");
-    let data = packet(tuple, 10);
+    let tuple = tuple("198.51.100.1:40000");
     let now = Timestamp::from_millis(10);
-    agent.on_message(now, process(9), established(b"data"), Some(&data));
-    let returned = Packet {
-        returned: true,
-        ..data
-    };
-    let actions = agent.on_upstream_packet(now, &returned, Bytes::from_static(b"data"));
-    assert!(!is_lost(&actions));
+    assert!(!is_lost(&start_lookup(&agent, now, tuple)));
     let denial = message(RelayBody::NotHeld(tuple));
     let actions = agent.on_message(now, process(2), denial, None);
     assert_eq!(is_lost(&actions), is_expected_lost);
@@ -84,15 +92,8 @@
     let agent = agent();
     let now = Timestamp::from_millis(3_000);
     agent.install(view_with_former_agent());
-    let tuple = FiveTuple::tcp("198.51.100.1:40000", "192.0.2.1:80").expect("two addresses");
-    let data = packet(tuple, 10);
-    agent.on_message(now, process(9), established(b"data"), Some(&data));
-    let returned = Packet {
-        returned: true,
-        ..data
-    };
-    let actions = agent.on_upstream_packet(now, &returned, Bytes::from_static(b"data"));
-    assert!(!is_lost(&actions));
+    let tuple = tuple("198.51.100.1:40000");
+    assert!(!is_lost(&start_lookup(&agent, now, tuple)));
     let actions = agent.on_tick(now + Duration::from_millis(tick_ms));
     assert_eq!(is_lost(&actions), is_expected_lost);
 }
@@ -105,7 +106,7 @@
 fn holder_answers_a_search(#[case] wants_answer: bool, #[case] is_expected: bool) {
     let agent = agent();
     agent.install(view(Some(Duration::ZERO)));
-    let tuple = FiveTuple::tcp("198.51.100.1:40000", "192.0.2.1:80").expect("two addresses");
+    let tuple = tuple("198.51.100.1:40000");
     let now = Timestamp::from_millis(10);
     agent.on_upstream_packet(now, &packet(tuple, 10), Bytes::from_static(b"answer"));
     let body = EstablishedPacket::new(Bytes::from_static(b"data"), process(9));
@@ -124,16 +125,10 @@
 fn lookup_ends_when_the_list_is_confirmed(#[case] confirmed_ms: u64, #[case] needs_packet: bool) {
     let agent = agent();
     agent.install(view(None));
-    let tuple = FiveTuple::tcp("198.51.100.1:40000", "192.0.2.1:80").expect("two addresses");
-    let data = packet(tuple, 10);
-    let returned = Packet {
-        returned: true,
-        ..data
-    };
+    let tuple = tuple("198.51.100.1:40000");
     let denial = message(RelayBody::NotHeld(tuple));
     let start = Timestamp::from_millis(10);
-    agent.on_message(start, process(9), established(b"data"), Some(&data));
-    agent.on_upstream_packet(start, &returned, Bytes::from_static(b"data"));
+    start_lookup(&agent, start, tuple);
     agent.on_message(start, process(2), denial.clone(), None);
     let mut was_lost = false;
     for ms in (20..confirmed_ms).step_by(20) {
@@ -144,6 +139,7 @@
     let now = Timestamp::from_millis(confirmed_ms + 100);
     if needs_packet {
         assert!(!is_lost(&agent.on_tick(now)));
+        let data = packet(tuple, 10);
         agent.on_message(now, process(9), established(b"data"), Some(&data));
         assert!(is_lost(&agent.on_message(now, process(2), denial, None)));
     } else {
@@ -159,20 +155,12 @@
     let agent = agent();
     agent.install(view_with_former_agent());
     let ask = |at_ms: u64, caller: &str| {
-        let tuple = FiveTuple::tcp(caller, "192.0.2.1:80").expect("two addresses");
-        let data = packet(tuple, 10);
-        let now = Timestamp::from_millis(at_ms);
-        agent.on_message(now, process(9), established(b"data"), Some(&data));
-        let returned = Packet {
-            returned: true,
-            ..data
-        };
-        agent.on_upstream_packet(now, &returned, Bytes::from_static(b"data"))
+        start_lookup(&agent, Timestamp::from_millis(at_ms), tuple(caller))
     };
     assert!(!is_lost(&ask(3_000, "198.51.100.1:40000")));
     assert!(is_lost(&agent.on_tick(Timestamp::from_millis(3_400))));
     if answers {
-        let tuple = FiveTuple::tcp("198.51.100.1:40000", "192.0.2.1:80").expect("two addresses");
+        let tuple = tuple("198.51.100.1:40000");
         let denial = message(RelayBody::NotHeld(tuple));
         agent.on_message(Timestamp::from_millis(3_500), process(2), denial, None);
     }
--- a/crates/plantainquay_net/src/relay/metrics.rs
+++ b/crates/plantainquay_net/src/relay/metrics.rs
@@ -10,13 +10,14 @@
     /// Updates the metrics from the state.
     pub fn refresh_metrics(&self) {
         let now = self.now();
-        let history_span = self.with_fleet(|fleet| fleet.service_history().span(now));
-        gauge!("relay_route_history_seconds").set(history_span.as_secs_f64());
-        let (generation, revision, upstreams, age) = self.with_fleet(|fleet| {
+        let (generation, revision, upstreams, age, history_span) = self.with_fleet(|fleet| {
             let upstreams = fleet.current_upstreams(now).count();
             let generation = fleet.routes().generation.0;
-            (generation, fleet.revision(), upstreams, fleet.age(now))
+            let history_span = fleet.service_history().span(now);
+            let age = fleet.age(now);
+            (generation, fleet.revision(), upstreams, age, history_span)
         });
+        gauge!("relay_route_history_seconds").set(history_span.as_secs_f64());
         // Absent until the state is first confirmed: any value would make it look fresh.
         if let Some(age) = age {
             gauge!("relay_view_age_seconds").set(age.as_secs_f64());
--- a/crates/plantainquay_schema/src/fleet.rs
+++ b/crates/plantainquay_schema/src/fleet.rs
@@ -169,6 +169,12 @@
     pub fn has_target(&self) -> bool {
         self.services.iter().any(|service| service.weight > 0)
     }
+
+    /// Returns true if the route names a service, whatever its weight.
+    #[must_use]
+    pub fn names(&self, service: ServiceId) -> bool {
+        self.services.iter().any(|named| named.id == service)
+    }
 }
 
 impl WeightedService {
