Log full reads of the store and watches that it can't continue

Change: history_gone names the revision that was asked for; store_read has the known revision, the store's, the generation and the number of upstreams. No decision changes.

--- a/crates/plantainquay_net/src/relay/follow.rs
+++ b/crates/plantainquay_net/src/relay/follow.rs
@@ -174,8 +174,16 @@
             (self.store.read_all)(Freshness::Current).await
         };
         match read {
-            Ok(changes) => self.record_success(changes).await,
-            Err(StoreError::HistoryGone) => self.can_watch = false,
+            Ok(changes) => {
+                if changes.is_full {
+                    log_full_read(revision, &changes);
+                }
+                self.record_success(changes).await;
+            }
+            Err(StoreError::HistoryGone) => {
+                event(Level::Info, "history_gone", &[("after", &revision)]);
+                self.can_watch = false;
+            }
             Err(error) => self.record_failure(&error, max_retry_delay),
         }
     }
@@ -225,6 +233,18 @@
     }
 }
 
+/// Logs a full read by a process that had read up to `known_revision`.
+fn log_full_read(known_revision: u64, changes: &Changes) {
+    let generation = changes.routes.as_ref().map(|routes| routes.generation);
+    let pairs: [(&str, &dyn fmt::Display); 4] = [
+        ("known_revision", &known_revision),
+        ("revision", &changes.revision),
+        ("generation", &generation.unwrap_or_default()),
+        ("upstreams", &changes.upstreams.len()),
+    ];
+    event(Level::Info, "store_read", &pairs);
+}
+
 fn log_source_lost(source: SocketAddr, reason: &dyn fmt::Display) {
     let pairs: [(&str, &dyn fmt::Display); 2] = [("source", &source), ("reason", reason)];
     event(Level::Warn, "source_lost", &pairs);
