Limit the length of a logged value

What operators would see: an entry with a text of 500,000 characters in place of an address is logged whole, each time it is read (line of 500,157 bytes, in odd_entries_stop_no_process, which failed before this change). The number of lines was bounded, their length was not. Change: a value is cut after 2,000 characters and marked with an ellipsis.

--- a/crates/plantainquay_net/src/logging.rs
+++ b/crates/plantainquay_net/src/logging.rs
@@ -8,6 +8,11 @@
 
 use crate::log_sink::consume_budget;
 
+/// Maximum length of a logged value in characters; the rest is left out.
+///
+/// Enough for a list of validation errors; values that others wrote can be megabytes long.
+const MAX_VALUE_CHARS: usize = 2_000;
+
 /// Bounds of the buckets of every histogram, in seconds.
 const HISTOGRAM_BUCKETS: [f64; 14] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0, 60.0, 600.0, 3600.0,
@@ -48,8 +53,12 @@
         .install_recorder()
 }
 
-/// Appends a value, quoted unless it is a single plain word.
+/// Appends a value, shortened if it is long, and quoted unless it is a single plain word.
 fn push_value(line: &mut String, value: &str) {
+    let value = match value.char_indices().nth(MAX_VALUE_CHARS) {
+        Some((end, _)) => &format!("{}…", &value[..end]),
+        None => value,
+    };
     let is_plain = |c: char| !c.is_whitespace() && c != '"' && c != '=' && !c.is_control();
     if !value.is_empty() && value.chars().all(is_plain) {
         line.push_str(value);
