Treat a restore of the store as a gap in the history of routes

What a caller could see: a reset of a flow that its upstream holds. Cause: a store that lost a document in a restore goes on with the next one, and the watch in the new era is complete. A process that never read the lost document took its history of routes for complete, and its balancer reset flows that opened elsewhere by that document. Change: a restore starts the time anew for which the history is complete, as a read that may skip documents does; until it is as long as a flow's life, the other services are asked before a reset. Test: restored_store_may_have_lost_routes; before the change one service of three was asked.

--- a/crates/plantainquay_core/src/fleet.rs
+++ b/crates/plantainquay_core/src/fleet.rs
@@ -101,6 +101,7 @@
         let mut applied = AppliedChanges::default();
         let history_since = self.service_history.complete_since();
         let confirmed_at = self.confirmed_at;
+        let is_restored = self.is_restored(changes.revision);
         let origin = self.routes_origin(changes.routes_complete_after);
         for routes in changes.earlier_routes.into_iter().chain(changes.routes) {
             applied.routes |= self.apply_routes(now, routes);
@@ -108,7 +109,10 @@
         if let Some(changes) = changes.route_changes {
             applied.routes |= self.apply_route_changes(now, changes);
         }
-        if applied.routes {
+        if is_restored {
+            // Other processes may know routes that the restore took from the store.
+            Arc::make_mut(&mut self.service_history).on_routes(now, RoutesOrigin::Gap);
+        } else if applied.routes {
             Arc::make_mut(&mut self.service_history).on_routes(now, origin);
         }
         if let Some(former) = changes.former_services {
@@ -226,6 +230,13 @@
         self.revision
     }
 
+    /// Returns true if a store that reports `revision` was restored from a copy since the replica
+    /// last matched it.
+    #[must_use]
+    pub fn is_restored(&self, revision: StoreRevision) -> bool {
+        self.confirmed_at.is_some() && revision.era > self.revision.era
+    }
+
     /// Upstreams that the store lists, and those in the grace period after their departure.
     pub fn current_upstreams(&self, now: Timestamp) -> impl Iterator<Item = &UpstreamRecord> {
         let in_grace_period = self
--- a/crates/plantainquay_core/tests/relay/search.rs
+++ b/crates/plantainquay_core/tests/relay/search.rs
@@ -11,10 +11,10 @@
 use plantainquay_core::relay::{
     Action, Actions, RelayBalancer, RelayBalancerConfig, RelayPolicy, RelayView,
 };
-use plantainquay_core::{FiveTuple, Fleet, Timestamp};
+use plantainquay_core::{FiveTuple, Fleet, FleetVersion, Timestamp};
 use plantainquay_schema::{
     Changes, Generation, LostFlow, RelayBody, RelayMessage, Route, RouteDocument, ServiceId,
-    UpstreamEntry, WeightedService,
+    StoreRevision, UpstreamEntry, WeightedService,
 };
 use rstest::rstest;
 
@@ -121,6 +121,25 @@
         self.apply(at_ms, changes);
     }
 
+    /// Reads everything from a store that was restored from a copy with the present content.
+    fn read_restored_store(&mut self, at_ms: u64) {
+        let known = self.fleet.revision();
+        let restored = |entry: UpstreamEntry| UpstreamEntry {
+            revision: StoreRevision::new(known.era + 1, entry.revision.number),
+            ..entry
+        };
+        let now = Timestamp::from_millis(at_ms);
+        let everything = self.fleet.changes_since(now, FleetVersion::default());
+        let changes = Changes {
+            age: Some(Duration::ZERO),
+            revision: StoreRevision::new(known.era + 1, known.number),
+            is_full: true,
+            upstreams: everything.upstreams.into_iter().map(restored).collect(),
+            ..Changes::default()
+        };
+        self.apply(at_ms, changes);
+    }
+
     /// Runs the balancer's ticks, by which it knows that it wasn't paused.
     fn tick_until(&self, at_ms: u64) {
         for ms in (self.last_tick_ms.get()..=at_ms).step_by(TICK_MS) {
@@ -160,7 +179,8 @@
                 break;
             };
             questions += 1;
-            actions = self.answer(at_ms, agent, service, lost(caller, 1));
+            let revision = StoreRevision::new(self.fleet.revision().era, 1);
+            actions = self.answer(at_ms, agent, service, lost_at(caller, revision));
         }
         (questions, false)
     }
@@ -201,11 +221,17 @@
     actions.iter().any(|a| matches!(a, Action::Reset { .. }))
 }
 
-/// The denial of an agent that knows the upstreams up to a revision.
+/// The denial of an agent that knows the upstreams up to a revision of a store that was never
+/// restored.
 fn lost(caller: u16, upstreams_revision: u64) -> RelayBody {
+    lost_at(caller, store_revision(upstreams_revision))
+}
+
+/// The denial of an agent that knows the upstreams up to a revision.
+fn lost_at(caller: u16, upstreams_revision: StoreRevision) -> RelayBody {
     RelayBody::Lost(LostFlow {
         tuple: tuple(caller),
-        upstreams_revision: Some(store_revision(upstreams_revision)),
+        upstreams_revision: Some(upstreams_revision),
     })
 }
 
@@ -279,6 +305,21 @@
     assert_eq!(questions, 0);
 }
 
+/// Guards against resets of flows that opened by routes which only other processes read before a
+/// restore took them from the store.
+#[rstest]
+fn restored_store_may_have_lost_routes() {
+    let mut site = Site::with_whole_history(&names(3));
+    site.publish(0, &["s0"]);
+    site.read_restored_store(1_000);
+    site.publish(1_500, &["s0"]);
+    site.confirm(2_000);
+    assert_eq!(site.send_unknown(2_000, 1), (3, true));
+    let end_ms = 1_000 + FLOW_TTL_MS;
+    site.confirm(end_ms);
+    assert_eq!(site.send_unknown(end_ms, 2), (1, true));
+}
+
 /// A view that wasn't confirmed since the flow's first packet may lack the route by which the flow
 /// opened.
 #[rstest]
--- a/crates/plantainquay_net/src/relay/fleet_state.rs
+++ b/crates/plantainquay_net/src/relay/fleet_state.rs
@@ -74,13 +74,13 @@
         let now = self.clock.now();
         let mut inner = self.inner.lock();
         let known_revision = inner.fleet.revision();
-        let was_confirmed = inner.fleet.age(now).is_some();
+        let is_restored = inner.fleet.is_restored(changes.revision);
         let applied = inner.fleet.apply(now, changes);
-        if was_confirmed && inner.fleet.revision().era > known_revision.era {
+        if is_restored {
             log_restore(known_revision, &inner.fleet, source);
         }
         let is_first_confirmed = inner.fleet.age(now).is_some() && !inner.view.is_confirmed();
-        if applied != AppliedChanges::default() || is_first_confirmed {
+        if applied != AppliedChanges::default() || is_first_confirmed || is_restored {
             self.install(now, &mut inner);
             log_change(applied, &inner.fleet, now, source);
             if inner.view.is_complete() {
