Keep the last entry of an upstream that leaves the store twice

What a caller could see: a reset of a flow that its upstream holds. Cause: a restored store lists an upstream that has left, until its outdated entry expires. That second departure replaced the first, and with it the entry by which the upstream's agent is known; lookups of its open flows no longer asked it. Without the copy's ghost the case can't arise, since a departure follows an entry. Change: a further departure raises the revision of the first and changes nothing else. In the simulation an upstream has left once its own last write says so, whatever a copy lists: this decides only for which flows a reset is allowed while their agent is down, and is the same as before where nothing is restored. The trace that showed it: u2 had drained and left, the copy listed it as ready, its agent was down and its flow was reset after 300 ms, as without a restore.

--- a/crates/plantainquay_core/src/fleet.rs
+++ b/crates/plantainquay_core/src/fleet.rs
@@ -370,9 +370,12 @@
         if record.is_some_and(|record| record.entry.revision > departure.revision) {
             return false;
         }
-        let previous = self.departed.get(&departure.id);
-        if previous.is_some_and(|d| d.revision >= departure.revision) {
-            return false;
+        if let Some(previous) = self.departed.get_mut(&departure.id) {
+            let is_known = previous.revision >= departure.revision;
+            previous.revision = previous.revision.max(departure.revision);
+            if is_known || previous.last.is_some() {
+                return false;
+            }
         }
         let reported = departure.last.map(|entry| UpstreamRecord {
             entry: Arc::new(entry),
--- a/crates/plantainquay_core/tests/relay/restored_store.rs
+++ b/crates/plantainquay_core/tests/relay/restored_store.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use plantainquay_core::{AppliedChanges, Fleet, Timestamp};
+use plantainquay_core::{AppliedChanges, Fleet, Presence, Timestamp};
 use plantainquay_schema::{Changes, Departure, Incarnation, StoreRevision, UpstreamEntry, wire};
 use prost::Message as _;
 use rstest::rstest;
 
-use crate::support::upstream;
+use crate::support::{SERVICE, upstream};
 
 /// Era of the store before its restore.
 const ERA: u64 = 4;
@@ -117,23 +117,58 @@
     assert_eq!(in_use(&fleet, AFTER_GRACE_PERIOD_MS), "u2 ready");
 }
 
-/// An upstream that the copy doesn't list yet is used for the time in which it registers again.
+/// Guards against losing sight of an upstream that has left and may hold flows, when its outdated
+/// entry leaves the restored store as well.
 #[test]
-fn upstream_that_the_copy_lacks_has_a_grace_period() {
+fn second_departure_keeps_the_last_entry() {
     let mut fleet = fleet();
+    fleet.apply(Timestamp(1), departed(1, StoreRevision::new(ERA, 31)));
+    let copy = vec![entry(1, 2, false, StoreRevision::new(ERA + 1, 20))];
+    fleet.apply(
+        Timestamp(2),
+        full_read(StoreRevision::new(ERA + 1, 20), copy),
+    );
+    fleet.apply(Timestamp(3), departed(1, StoreRevision::new(ERA + 1, 21)));
+    let service = SERVICE.into();
+    let known = fleet.service_upstreams(Timestamp(4), &service);
+    let known: Vec<(&str, Presence)> = known
+        .iter()
+        .map(|(record, presence)| (record.entry.id.as_str(), *presence))
+        .collect();
+    assert_eq!(
+        known,
+        [
+            ("u1", Presence::InGracePeriod),
+            ("u2", Presence::InGracePeriod)
+        ]
+    );
+}
+
+/// An upstream that the copy doesn't list yet is used for the time in which it registers again, even
+/// if it drains.
+#[rstest]
+#[case::ready(false, "u1 ready")]
+fn upstream_that_the_copy_lacks_has_a_grace_period(#[case] draining: bool, #[case] u1: &str) {
+    let mut fleet = fleet();
+    let written = Changes {
+        upstreams: vec![entry(1, 4, draining, StoreRevision::new(ERA, 31))],
+        ..Changes::default()
+    };
+    fleet.apply(Timestamp(0), written);
     let copy = vec![entry(2, 1, false, StoreRevision::new(ERA + 1, 12))];
     fleet.apply(
         Timestamp(1),
         full_read(StoreRevision::new(ERA + 1, 12), copy),
     );
-    assert_eq!(in_use(&fleet, 1_000), "u1 ready, u2 ready");
+    let both = format!("{u1}, u2 ready");
+    assert_eq!(in_use(&fleet, 1_000), both);
     assert_eq!(in_use(&fleet, AFTER_GRACE_PERIOD_MS), "u2 ready");
     let written_again = Changes {
-        upstreams: vec![entry(1, 4, false, StoreRevision::new(ERA + 1, 13))],
+        upstreams: vec![entry(1, 5, draining, StoreRevision::new(ERA + 1, 13))],
         ..Changes::default()
     };
     fleet.apply(Timestamp::from_millis(1_000), written_again);
-    assert_eq!(in_use(&fleet, AFTER_GRACE_PERIOD_MS), "u1 ready, u2 ready");
+    assert_eq!(in_use(&fleet, AFTER_GRACE_PERIOD_MS), both);
 }
 
 /// A process that follows another one has its upstreams after a restore, even though every revision
--- a/crates/plantainquay_trace/src/relay/event.rs
+++ b/crates/plantainquay_trace/src/relay/event.rs
@@ -40,6 +40,10 @@
     Lose(u64),
     /// The store names these services, with their weights, for the route; none removes the route.
     Route(Vec<(String, u32)>),
+    /// The store is restored from a copy that is this many milliseconds old.
+    Restore(u64),
+    /// Operators and upstreams write again what they wrote last.
+    WriteAgain,
     /// A process no longer receives changes.
     Cut(String),
     /// A process that was cut off receives the changes that it missed.
@@ -109,6 +113,8 @@
         "depart" => RelayEvent::Depart(number(first, "u")?),
         "join" => RelayEvent::Join(number(first, "u")?),
         "lose" => RelayEvent::Lose(number(first, "")?),
+        "restore" => RelayEvent::Restore(number(first, "")?),
+        "write-again" => RelayEvent::WriteAgain,
         "cut" => RelayEvent::Cut(process(first)?),
         "mend" => RelayEvent::Mend(process(first)?),
         _ => return Err(format!("unknown event `{verb}`")),
--- a/crates/plantainquay_trace/src/relay/simulation.rs
+++ b/crates/plantainquay_trace/src/relay/simulation.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod faults;
+mod store;
 mod upstreams;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,11 +13,9 @@
 use bytes::Bytes;
 use plantainquay_core::Timestamp;
 use plantainquay_core::relay::{Action, Actions, RelayPolicy};
-use plantainquay_schema::{
-    Generation, Incarnation, Name, Route, RouteDocument, ServiceId, StoreRevision, UpstreamEntry,
-    WeightedService,
-};
+use plantainquay_schema::{Generation, Name, Route, RouteDocument, ServiceId, WeightedService};
 
+use self::store::Store;
 use super::RelayEvent;
 use super::codec::{LISTENER, SimulatedPacket};
 use super::network::{Arrival, Network};
@@ -52,11 +51,9 @@
     balancers: usize,
     processes: Vec<Process>,
     upstreams: BTreeMap<u16, Upstream>,
-    store_entries: BTreeMap<u16, UpstreamEntry>,
-    revision: StoreRevision,
+    store: Store,
     /// Services to which upstreams are assigned in turn.
     services: Vec<Name>,
-    routes: RouteDocument,
     /// Upstreams that the store didn't list when the last process that knew them ended, with the
     /// time at which decisions take the store's new entry into account.
     forgotten: BTreeMap<u16, u64>,
@@ -157,9 +154,7 @@
             balancers: balancers.into(),
             processes: Vec::new(),
             upstreams: BTreeMap::new(),
-            store_entries: BTreeMap::new(),
-            revision: StoreRevision::new(0, 1),
-            routes: route_document(1, &[(first_service.as_str(), 1)]),
+            store: Store::new(route_document(1, &[(first_service.as_str(), 1)])),
             named_services: [first_service].into(),
             services,
             forgotten: BTreeMap::new(),
@@ -181,8 +176,8 @@
             let process = Process::new(&name, agent_ip(number), service, policy);
             simulation.processes.push(process);
             simulation.upstreams.insert(number, Upstream::default());
-            let entry = simulation.upstream_entry(number);
-            simulation.store_entries.insert(number, entry);
+            let service = simulation.service_of(number).clone();
+            simulation.store.put_upstream(0, number, &service, false);
         }
         simulation.broadcast_changes(&simulation.full_changes());
         simulation
@@ -357,22 +352,6 @@
         &self.services[usize::from(upstream - 1) % self.services.len()]
     }
 
-    /// Returns the entry that an upstream writes at the current revision.
-    fn upstream_entry(&self, number: u16) -> UpstreamEntry {
-        UpstreamEntry {
-            id: format!("u{number}").as_str().into(),
-            service: self.service_of(number).clone(),
-            ip: agent_ip(number),
-            data_centre: "split".into(),
-            slots: SLOTS.into(),
-            draining: false,
-            incarnation: Incarnation(1),
-            warm_up: Duration::ZERO,
-            sequence: self.revision.number,
-            revision: self.revision,
-        }
-    }
-
     fn now(&self) -> Timestamp {
         Timestamp::from_millis(self.now_ms)
     }
--- a/crates/plantainquay_trace/src/relay/simulation/callers.rs
+++ b/crates/plantainquay_trace/src/relay/simulation/callers.rs
@@ -42,7 +42,7 @@
         }
     }
 
-    /// Returns true if the store no longer lists a flow's upstream and its agent doesn't answer.
+    /// Returns true if a flow's upstream has left the store and its agent doesn't answer.
     ///
     /// Such an upstream can't be distinguished from a terminated one, so its flows may be reset.
     fn is_upstream_unreachable(&self, flow: u16) -> bool {
@@ -55,7 +55,7 @@
 
     pub(super) fn is_unreachable(&self, upstream: u16) -> bool {
         let agent = &self.processes[self.balancers + usize::from(upstream) - 1];
-        !self.store_entries.contains_key(&upstream) && (agent.is_paused || agent.is_down)
+        !self.store.is_registered(upstream) && (agent.is_paused || agent.is_down)
     }
 
     /// Returns true if packets of a flow could reach its upstream: its agent runs, and the balancer
--- a/crates/plantainquay_trace/src/relay/simulation/faults.rs
+++ b/crates/plantainquay_trace/src/relay/simulation/faults.rs
@@ -1,11 +1,8 @@
-//! Faults and changes to the upstreams that the store lists.
-
-use std::time::Duration;
+//! Events of a trace: faults of processes, upstreams and the network.
 
 use plantainquay_core::FleetVersion;
-use plantainquay_schema::{Changes, Departure, UpstreamEntry};
 
-use super::{Flow, RelaySimulation, SETTLING_TIME_MS, route_document};
+use super::{Flow, RelaySimulation, SETTLING_TIME_MS};
 use crate::relay::RelayEvent;
 use crate::relay::codec::PacketKind;
 use crate::relay::process::Process;
@@ -55,6 +52,8 @@
             RelayEvent::Depart(upstream) => self.remove_upstream(*upstream),
             RelayEvent::Lose(loss_one_in) => self.network.loss_one_in = *loss_one_in,
             RelayEvent::Route(services) => self.change_route(services),
+            RelayEvent::Restore(age_ms) => self.restore_store(*age_ms),
+            RelayEvent::WriteAgain => self.write_again(),
             RelayEvent::Cut(name) => self.with_process(name, |p| p.is_cut_off = true),
             RelayEvent::Mend(name) => self.mend(name),
         }
@@ -70,7 +69,7 @@
             |peer| peer.changes_since(now, FleetVersion::default()),
         );
         if !self.processes.iter().any(|p| live(&p)) {
-            let listed = |number: &u16| self.store_entries.contains_key(number);
+            let listed = |number: &u16| self.store.entries.contains_key(number);
             let unlisted = self.upstreams.keys().copied().filter(|n| !listed(n));
             self.forgotten
                 .extend(unlisted.map(|number| (number, u64::MAX)));
@@ -101,75 +100,4 @@
             process.apply_changes(now, changes);
         });
     }
-
-    fn change_route(&mut self, services: &[(String, u32)]) {
-        let named = services.iter().map(|(name, _)| name.as_str().into());
-        self.named_services.extend(named);
-        let weighted: Vec<(&str, u32)> = services.iter().map(|(n, w)| (n.as_str(), *w)).collect();
-        self.routes = route_document(self.routes.generation.0 + 1, &weighted);
-        let previous_revision = self.revision;
-        self.revision.number += 1;
-        if services.is_empty() {
-            let flows = self.flows.values_mut();
-            flows.for_each(|flow| flow.is_route_removed = true);
-        }
-        self.broadcast_changes(&Changes {
-            routes: Some(self.routes.clone()),
-            routes_complete_after: Some(previous_revision),
-            ..self.empty_changes()
-        });
-    }
-
-    pub(super) fn list_upstream(&mut self, number: u16, draining: bool) {
-        self.revision.number += 1;
-        let entry = UpstreamEntry {
-            draining,
-            ..self.upstream_entry(number)
-        };
-        if let Some(known_from_ms) = self.forgotten.get_mut(&number) {
-            *known_from_ms = (self.now_ms + SETTLING_TIME_MS).min(*known_from_ms);
-        }
-        self.store_entries.insert(number, entry.clone());
-        self.broadcast_changes(&Changes {
-            upstreams: vec![entry],
-            ..self.empty_changes()
-        });
-    }
-
-    pub(super) fn remove_upstream(&mut self, number: u16) {
-        self.revision.number += 1;
-        if let Some(entry) = self.store_entries.remove(&number) {
-            let departure = Departure::without_entry(entry.id, self.revision);
-            self.broadcast_changes(&Changes {
-                departures: vec![departure],
-                ..self.empty_changes()
-            });
-        }
-    }
-
-    pub(super) fn broadcast_changes(&mut self, changes: &Changes) {
-        let now = self.now();
-        let live = self
-            .processes
-            .iter_mut()
-            .filter(|process| !process.is_down && !process.is_cut_off);
-        live.for_each(|process| process.apply_changes(now, changes.clone()));
-    }
-
-    pub(super) fn empty_changes(&self) -> Changes {
-        Changes {
-            age: Some(Duration::ZERO),
-            revision: self.revision,
-            ..Changes::default()
-        }
-    }
-
-    pub(super) fn full_changes(&self) -> Changes {
-        Changes {
-            is_full: true,
-            routes: Some(self.routes.clone()),
-            upstreams: self.store_entries.values().cloned().collect(),
-            ..self.empty_changes()
-        }
-    }
 }
--- a/crates/plantainquay_trace/tests/relay_random_faults.rs
+++ b/crates/plantainquay_trace/tests/relay_random_faults.rs
@@ -42,6 +42,17 @@
     prop_oneof![balancer(), agent()]
 }
 
+/// Generates a restore of the store from an older copy, after which everything is written again
+/// within the grace period of entries that the copy lacks.
+fn restore() -> impl Strategy<Value = Vec<(u64, RelayEvent)>> {
+    (0..4_000_u64, 50..2_000_u64).prop_map(|(age_ms, away_ms)| {
+        vec![
+            (0, RelayEvent::Restore(age_ms)),
+            (away_ms, RelayEvent::WriteAgain),
+        ]
+    })
+}
+
 /// Generates the events of a route whose services, weights and existence change.
 fn route_events() -> impl Strategy<Value = Vec<(u64, RelayEvent)>> {
     let services = prop_oneof![
@@ -109,6 +120,7 @@
             (ms, RelayEvent::Join(u)),
         ]),
         1 => Just(vec![(0, RelayEvent::Lose(20)), (500, RelayEvent::Lose(0))]),
+        1 => restore(),
     ]
 }
 
