Give a draining upstream that a restored copy lacks its grace period

What a caller could see: a reset of a flow whose upstream drains and lives, if its agent is slow just after a restore of the store. Cause: an entry that vanishes after it drained was taken for an announced departure, whose agent is awaited for 300 ms only. A restored store may lack the entry because it was written after the copy. Change: an entry of an earlier era that the store lacks counts as unannounced, and is used for 2.2 s. Tests: found_draining_upstream_missing_in_copy.trace (from random faults) and the draining case of upstream_that_the_copy_lacks_has_a_grace_period failed before.

--- a/crates/plantainquay_core/src/fleet.rs
+++ b/crates/plantainquay_core/src/fleet.rs
@@ -387,9 +387,13 @@
             self.index.add_departed(&record.entry);
         }
         let changed = last.is_some();
+        // An upstream announces its departure by draining, but an entry of an earlier era may only be
+        // missing in the copy from which the store was restored.
+        let is_unannounced = |record: &UpstreamRecord| {
+            !record.entry.draining || record.entry.revision.era < departure.revision.era
+        };
         let departed = DepartedUpstream {
-            // An upstream announces its departure by draining.
-            is_unannounced: last.as_ref().is_some_and(|record| !record.entry.draining),
+            is_unannounced: last.as_ref().is_some_and(is_unannounced),
             last,
             revision: departure.revision,
             departed_at: now,
--- a/crates/plantainquay_core/src/fleet/departed.rs
+++ b/crates/plantainquay_core/src/fleet/departed.rs
@@ -30,7 +30,8 @@
     pub(super) last: Option<UpstreamRecord>,
     pub(super) revision: StoreRevision,
     pub(super) departed_at: Timestamp,
-    /// True if the upstream did not drain first, so that its entry may have expired by mistake.
+    /// True if the upstream did not announce its departure, so that its entry may have expired by
+    /// mistake or is missing in the copy of a restored store.
     pub(super) is_unannounced: bool,
 }
 
--- a/crates/plantainquay_core/tests/relay/restored_store.rs
+++ b/crates/plantainquay_core/tests/relay/restored_store.rs
@@ -148,6 +148,7 @@
 /// if it drains.
 #[rstest]
 #[case::ready(false, "u1 ready")]
+#[case::draining(true, "u1 draining")]
 fn upstream_that_the_copy_lacks_has_a_grace_period(#[case] draining: bool, #[case] u1: &str) {
     let mut fleet = fleet();
     let written = Changes {
