Don't count resets of flows that open by a removed route as broken

Found by random faults without a restore (one case in some 20,000): a balancer that was cut off for two seconds opened a flow by a route that had been removed, and the others reset it once they got its packets. The promise excludes flows whose route the operators dropped; the check did so only for flows that were open at that moment. The trace shows the allowed case; a flow that opens while its route exists is checked as before.

--- a/crates/plantainquay_trace/src/relay/simulation.rs
+++ b/crates/plantainquay_trace/src/relay/simulation.rs
@@ -90,7 +90,8 @@
     last_answered: u16,
     /// The balancer that received the caller's last packet.
     last_balancer: usize,
-    /// True if the flow's route was removed while the flow was open.
+    /// True if the flow's route was removed while the flow was open, or before a process that
+    /// hadn't heard of it opened the flow.
     is_route_removed: bool,
 }
 
--- a/crates/plantainquay_trace/src/relay/simulation/callers.rs
+++ b/crates/plantainquay_trace/src/relay/simulation/callers.rs
@@ -13,12 +13,14 @@
         let Some(decoded) = SimulatedPacket::decode(packet) else {
             return;
         };
+        let has_route = self.store.has_route();
         let Some(flow) = self.flows.get_mut(&decoded.flow) else {
             return;
         };
         match decoded.kind {
             PacketKind::Accept if flow.accepted_by.is_none() && !flow.is_reset => {
                 flow.accepted_by = Some(decoded.upstream);
+                flow.is_route_removed |= !has_route;
                 flow.incarnation = decoded.incarnation;
                 self.summary.opened += 1;
                 let service =
--- a/crates/plantainquay_trace/src/relay/simulation/store.rs
+++ b/crates/plantainquay_trace/src/relay/simulation/store.rs
@@ -50,6 +50,11 @@
         self.written_entries.contains_key(&upstream)
     }
 
+    /// Returns true if the route exists, whatever a restored copy contains.
+    pub(super) fn has_route(&self) -> bool {
+        !self.written_routes.routes.is_empty()
+    }
+
     /// Stores the entry that an upstream writes, at the next revision.
     pub(super) fn put_upstream(
         &mut self,
