Treat a response from an earlier era as a failed read

Found by reading: a full read that reports an earlier era than the known one would have confirmed the state, while each of its changes is ignored as old. It now counts as a failed read, is logged (store_lost reason=earlier_era_N) and retried with the usual delays; what is known stays in force.

--- a/crates/plantainquay_core/src/fleet.rs
+++ b/crates/plantainquay_core/src/fleet.rs
@@ -102,17 +102,19 @@
         let history_since = self.service_history.complete_since();
         let confirmed_at = self.confirmed_at;
         let is_restored = self.is_restored(changes.revision);
-        let origin = self.routes_origin(changes.routes_complete_after);
+        let origin = if is_restored {
+            // Other processes may know routes that the restore took from the store.
+            RoutesOrigin::Gap
+        } else {
+            self.routes_origin(changes.routes_complete_after)
+        };
         for routes in changes.earlier_routes.into_iter().chain(changes.routes) {
             applied.routes |= self.apply_routes(now, routes);
         }
         if let Some(changes) = changes.route_changes {
             applied.routes |= self.apply_route_changes(now, changes);
         }
-        if is_restored {
-            // Other processes may know routes that the restore took from the store.
-            Arc::make_mut(&mut self.service_history).on_routes(now, RoutesOrigin::Gap);
-        } else if applied.routes {
+        if applied.routes || is_restored {
             Arc::make_mut(&mut self.service_history).on_routes(now, origin);
         }
         if let Some(former) = changes.former_services {
@@ -371,9 +373,11 @@
             return false;
         }
         if let Some(previous) = self.departed.get_mut(&departure.id) {
-            let is_known = previous.revision >= departure.revision;
-            previous.revision = previous.revision.max(departure.revision);
-            if is_known || previous.last.is_some() {
+            if previous.revision >= departure.revision {
+                return false;
+            }
+            previous.revision = departure.revision;
+            if previous.last.is_some() {
                 return false;
             }
         }
--- a/crates/plantainquay_core/src/fleet/index.rs
+++ b/crates/plantainquay_core/src/fleet/index.rs
@@ -72,8 +72,8 @@
 
     /// Highest revision of a listed entry; zero without entries.
     pub(super) fn newest_revision(&self) -> StoreRevision {
-        let last = self.by_revision.last();
-        last.map_or(StoreRevision::default(), |(revision, _)| *revision)
+        let newest = self.by_revision.last().map(|(revision, _)| *revision);
+        newest.unwrap_or_default()
     }
 
     /// Listed entries with a revision above `revision`.
--- a/crates/plantainquay_net/src/relay/follow.rs
+++ b/crates/plantainquay_net/src/relay/follow.rs
@@ -174,6 +174,10 @@
             (self.store.read_all)(Freshness::Current).await
         };
         match read {
+            Ok(changes) if changes.revision.era < revision.era => {
+                let error = StoreError::EarlierEra(changes.revision.era);
+                self.record_failure(&error, max_retry_delay);
+            }
             Ok(changes) => {
                 if changes.is_full {
                     log_full_read(revision, &changes);
--- a/crates/plantainquay_net/src/relay/store.rs
+++ b/crates/plantainquay_net/src/relay/store.rs
@@ -40,6 +40,9 @@
     /// copy since.
     #[error("history_gone")]
     HistoryGone,
+    /// The response is from before a restore that this process already knows of.
+    #[error("earlier_era_{0}")]
+    EarlierEra(u64),
     /// The store temporarily refuses calls of this process.
     #[error("refused_with_{0}")]
     Refused(u16),
