--- a/crates/plantainquay_trace/src/relay/simulation/faults.rs
+++ b/crates/plantainquay_trace/src/relay/simulation/faults.rs
@@ -69,7 +69,7 @@
             |peer| peer.changes_since(now, FleetVersion::default()),
         );
         if !self.processes.iter().any(|p| live(&p)) {
-            let listed = |number: &u16| self.store.entries.contains_key(number);
+            let listed = |number: &u16| self.store.content.entries.contains_key(number);
             let unlisted = self.upstreams.keys().copied().filter(|n| !listed(n));
             self.forgotten
                 .extend(unlisted.map(|number| (number, u64::MAX)));
--- a/crates/plantainquay_trace/src/relay/simulation/store.rs
+++ b/crates/plantainquay_trace/src/relay/simulation/store.rs
@@ -12,33 +12,35 @@
 /// The store, its copies, and what was written to it last.
 #[derive(Debug)]
 pub(super) struct Store {
-    pub(super) revision: StoreRevision,
-    pub(super) routes: RouteDocument,
-    pub(super) entries: BTreeMap<u16, UpstreamEntry>,
+    pub(super) content: Content,
     /// Writes of upstreams so far.
     writes: u64,
     /// Routes and entries as they were written last, which a restore may have taken from the store.
     written_routes: RouteDocument,
     written_entries: BTreeMap<u16, UpstreamEntry>,
     /// Content after each change, with its time.
-    copies: Vec<(u64, StoreCopy)>,
+    copies: Vec<(u64, Content)>,
 }
 
+/// Content of the store at one revision.
 #[derive(Clone, Debug)]
-struct StoreCopy {
-    revision: StoreRevision,
-    routes: RouteDocument,
-    entries: BTreeMap<u16, UpstreamEntry>,
+pub(super) struct Content {
+    pub(super) revision: StoreRevision,
+    pub(super) routes: RouteDocument,
+    pub(super) entries: BTreeMap<u16, UpstreamEntry>,
 }
 
 impl Store {
     /// Creates a store that contains a route and no upstreams.
     pub(super) fn new(routes: RouteDocument) -> Self {
-        Self {
+        let content = Content {
             revision: StoreRevision::new(1, 1),
-            written_routes: routes.clone(),
-            routes,
+            routes: routes.clone(),
             entries: BTreeMap::new(),
+        };
+        Self {
+            content,
+            written_routes: routes,
             writes: 0,
             written_entries: BTreeMap::new(),
             copies: Vec::new(),
@@ -64,7 +66,7 @@
         draining: bool,
     ) {
         self.writes += 1;
-        self.revision.number += 1;
+        self.content.revision.number += 1;
         let entry = UpstreamEntry {
             id: format!("u{number}").as_str().into(),
             service: service.clone(),
@@ -75,51 +77,46 @@
             incarnation: Incarnation(1),
             warm_up: Duration::ZERO,
             sequence: self.writes,
-            revision: self.revision,
+            revision: self.content.revision,
         };
-        self.entries.insert(number, entry.clone());
+        self.content.entries.insert(number, entry.clone());
         self.written_entries.insert(number, entry);
         self.record_copy(now_ms);
     }
 
     /// Removes an entry, and returns it if there was one.
     fn remove_upstream(&mut self, now_ms: u64, number: u16) -> Option<UpstreamEntry> {
-        self.revision.number += 1;
+        self.content.revision.number += 1;
         self.written_entries.remove(&number);
-        let entry = self.entries.remove(&number);
+        let entry = self.content.entries.remove(&number);
         self.record_copy(now_ms);
         entry
     }
 
     fn put_routes(&mut self, now_ms: u64, routes: RouteDocument) {
-        self.revision.number += 1;
-        self.routes = routes.clone();
+        self.content.revision.number += 1;
+        self.content.routes = routes.clone();
         self.written_routes = routes;
         self.record_copy(now_ms);
     }
 
     /// Replaces the content by that of `at_ms` and starts another era.
     fn restore(&mut self, at_ms: u64) {
-        let is_older = |(time, _): &&(u64, StoreCopy)| *time <= at_ms;
+        let is_older = |(time, _): &&(u64, Content)| *time <= at_ms;
         let copy = self.copies.iter().rev().find(is_older);
         let Some((_, copy)) = copy.or(self.copies.first()) else {
             return;
         };
-        self.revision = StoreRevision::new(self.revision.era + 1, copy.revision.number);
-        self.routes = copy.routes.clone();
-        self.entries = copy.entries.clone();
-        for entry in self.entries.values_mut() {
-            entry.revision.era = self.revision.era;
+        let era = self.content.revision.era + 1;
+        self.content = copy.clone();
+        self.content.revision.era = era;
+        for entry in self.content.entries.values_mut() {
+            entry.revision.era = era;
         }
     }
 
     fn record_copy(&mut self, now_ms: u64) {
-        let copy = StoreCopy {
-            revision: self.revision,
-            routes: self.routes.clone(),
-            entries: self.entries.clone(),
-        };
-        self.copies.push((now_ms, copy));
+        self.copies.push((now_ms, self.content.clone()));
     }
 }
 
@@ -144,14 +141,14 @@
             *known_from_ms = (self.now_ms + SETTLING_TIME_MS).min(*known_from_ms);
         }
         self.broadcast_changes(&Changes {
-            upstreams: vec![self.store.entries[&number].clone()],
+            upstreams: vec![self.store.content.entries[&number].clone()],
             ..self.empty_changes()
         });
     }
 
     pub(super) fn remove_upstream(&mut self, number: u16) {
         if let Some(entry) = self.store.remove_upstream(self.now_ms, number) {
-            let departure = Departure::without_entry(entry.id, self.store.revision);
+            let departure = Departure::without_entry(entry.id, self.store.content.revision);
             self.broadcast_changes(&Changes {
                 departures: vec![departure],
                 ..self.empty_changes()
@@ -171,20 +168,20 @@
         for (number, entry) in &written {
             self.list_upstream(*number, entry.draining);
         }
-        let numbers: Vec<u16> = self.store.entries.keys().copied().collect();
+        let numbers: Vec<u16> = self.store.content.entries.keys().copied().collect();
         for number in numbers.into_iter().filter(|n| !written.contains_key(n)) {
             self.remove_upstream(number);
         }
-        if self.store.routes != self.store.written_routes {
+        if self.store.content.routes != self.store.written_routes {
             self.publish_routes(self.store.written_routes.clone());
         }
     }
 
     fn publish_routes(&mut self, routes: RouteDocument) {
-        let previous_revision = self.store.revision;
+        let previous_revision = self.store.content.revision;
         self.store.put_routes(self.now_ms, routes);
         self.broadcast_changes(&Changes {
-            routes: Some(self.store.routes.clone()),
+            routes: Some(self.store.content.routes.clone()),
             routes_complete_after: Some(previous_revision),
             ..self.empty_changes()
         });
@@ -202,7 +199,7 @@
     pub(super) fn empty_changes(&self) -> Changes {
         Changes {
             age: Some(Duration::ZERO),
-            revision: self.store.revision,
+            revision: self.store.content.revision,
             ..Changes::default()
         }
     }
@@ -210,8 +207,8 @@
     pub(super) fn full_changes(&self) -> Changes {
         Changes {
             is_full: true,
-            routes: Some(self.store.routes.clone()),
-            upstreams: self.store.entries.values().cloned().collect(),
+            routes: Some(self.store.content.routes.clone()),
+            upstreams: self.store.content.entries.values().cloned().collect(),
             ..self.empty_changes()
         }
     }
