--- a/review/stand_in/src/dark.rs
+++ b/review/stand_in/src/dark.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::client::Client;
-use crate::fleet::{Fleet, HEARTBEAT};
+use crate::fleet::{Fleet, HEARTBEAT, SERVICE};
 use crate::packet::{ACK, RST, SYN};
 use crate::{Outcome, ms, record, sleep_until};
 
@@ -35,15 +35,15 @@
 pub fn run(is_trouble: bool) -> Outcome {
     let mut fleet = Fleet::new(0);
     let mut ports = vec![FIRST_ROUTE_PORT];
-    fleet.put_config(1, &ports);
+    fleet.put_config(1, &ports, SERVICE);
     let mut ids = Vec::new();
     for side in 0..SIDES {
-        fleet.add_side(true);
+        fleet.add_side(SERVICE);
         fleet.start_backend(side);
         ids.push(fleet.register_backend(side));
     }
     for _ in 0..FRONTS {
-        fleet.add_front(true);
+        fleet.add_front();
     }
     if !fleet.wait_ready() {
         record("not every process was ready in time");
@@ -130,7 +130,7 @@
             let port = FIRST_ROUTE_PORT + ports.len() as u16;
             ports.push(port);
             let in_force = &ports[ports.len().saturating_sub(MAX_ROUTES)..];
-            fleet.put_config(ports.len() as u64, in_force);
+            fleet.put_config(ports.len() as u64, in_force, SERVICE);
             changes.push(Change {
                 port,
                 acked_at: Instant::now(),
--- a/review/stand_in/src/fleet.rs
+++ b/review/stand_in/src/fleet.rs
@@ -14,6 +14,8 @@
 use crate::store::{Path, Store};
 
 pub const SERVICE: &str = "raspored";
+/// A second service, to which a route moves.
+pub const OTHER_SERVICE: &str = "prirucnik";
 pub const ZONES: [&str; 4] = ["split", "hvar", "brac", "vis"];
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 const METRICS_PORT: u16 = 9_464;
@@ -62,6 +64,7 @@
     pub ip: Ipv4Addr,
     pub store_path: Arc<Path>,
     pub backend: Option<Backend>,
+    service: &'static str,
     net: Net,
     settings: PathBuf,
     log: PathBuf,
@@ -155,16 +158,16 @@
         crate::client::Client::start(self.net.client())
     }
 
-    pub fn add_front(&mut self, first_start: bool) {
+    pub fn add_front(&mut self) {
         let number = self.fronts.len() as u8 + 1;
-        let machine = self.start(1, number, "balancer", false, first_start);
+        let machine = self.start(1, number, "balancer", None);
         self.fronts.push(machine);
     }
 
     /// Starts the machine of a backend with its node; the backend registers later.
-    pub fn add_side(&mut self, first_start: bool) {
+    pub fn add_side(&mut self, service: &'static str) {
         let number = self.sides.len() as u8 + 1;
-        let machine = self.start(2, number, "agent", true, first_start);
+        let machine = self.start(2, number, "agent", Some(service));
         self.sides.push(machine);
     }
 
@@ -185,7 +188,8 @@
 
     pub fn put_entry(&self, side: usize, id: &str, state: &str, seq: u64) {
         let entry = format!(
-            r#"{{"service":"{SERVICE}","address":"{}","zone":"{}","version":"v1","slots":2,"state":"{state}","cold_left_ms":0,"seq":{seq},"born":{}}}"#,
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":2,"state":"{state}","cold_left_ms":0,"seq":{seq},"born":{}}}"#,
+            self.sides[side].service,
             self.sides[side].app(),
             ZONES[side % ZONES.len()],
             crate::unix_ms()
@@ -193,13 +197,13 @@
         self.store.put(&format!("servers/{id}"), &entry);
     }
 
-    /// The operator's config: the routes of these ports, all to the one service.
-    pub fn put_config(&self, version: u64, ports: &[u16]) {
+    /// The operator's config: the routes of these ports, all to one service.
+    pub fn put_config(&self, version: u64, ports: &[u16], service: &str) {
         let routes: Vec<String> = ports
             .iter()
             .map(|port| {
                 format!(
-                    r#"{{"name":"r-{port}","host":"198.18.0.1","prefix":"/{port}/","kind":"unsafe","timeout_ms":600,"target_latency_ms":120,"priority":1,"service":"{SERVICE}","attempts":2}}"#
+                    r#"{{"name":"r-{port}","host":"198.18.0.1","prefix":"/{port}/","kind":"unsafe","timeout_ms":600,"target_latency_ms":120,"priority":1,"service":"{service}","attempts":2}}"#
                 )
             })
             .collect();
@@ -233,14 +237,17 @@
         (0..self.sides.len()).filter(is_reader).collect()
     }
 
-    fn start(&self, group: u8, number: u8, role: &str, has_backend: bool, first: bool) -> Machine {
+    fn start(&self, group: u8, number: u8, role: &str, service: Option<&'static str>) -> Machine {
         let Net { octet, first_port } = self.net;
         let ip = Ipv4Addr::new(127, octet, group, number);
         let store_address = SocketAddrV4::new(
             Ipv4Addr::new(127, octet, 100 + group, number),
             first_port + 9,
         );
-        let name = format!("{}-{number}", if has_backend { "side" } else { "front" });
+        let name = format!(
+            "{}-{number}",
+            if service.is_some() { "side" } else { "front" }
+        );
         let store_path = self.store.serve_machine(store_address);
         let zone = ZONES[usize::from(number - 1) % ZONES.len()];
         let text = settings(
@@ -250,8 +257,7 @@
             ip,
             first_port,
             store_address,
-            has_backend,
-            first,
+            service,
             self.grace_s,
         );
         let settings = self.dir.join(format!("{name}.yaml"));
@@ -262,6 +268,7 @@
             ip,
             store_path,
             backend: None,
+            service: service.unwrap_or_default(),
             net: self.net,
             child: spawn(&settings, &log),
             settings,
@@ -307,8 +314,7 @@
     ip: Ipv4Addr,
     first_port: u16,
     store: SocketAddrV4,
-    has_backend: bool,
-    first_start: bool,
+    service: Option<&str>,
     grace_s: &str,
 ) -> String {
     let template = fs::read_to_string(TEMPLATE).expect("the template of the settings");
@@ -318,7 +324,7 @@
         template.find("{{/service}}\n"),
     ) {
         let inner = &template[start + "{{#service}}\n".len()..end];
-        let inner = if has_backend { inner } else { "" };
+        let inner = if service.is_some() { inner } else { "" };
         text = format!(
             "{}{inner}{}",
             &template[..start],
@@ -334,13 +340,13 @@
         ("listen.ready", at(1)),
         ("listen.outbound", at(3)),
         ("app", at(2)),
-        ("service", SERVICE.to_owned()),
+        ("service", service.unwrap_or_default().to_owned()),
         ("internal_port_range.0", (first_port + 4).to_string()),
         ("platform.address", store.to_string()),
         ("limits.cores", "1".to_owned()),
         ("bounds.grace_s", grace_s.to_owned()),
         ("bounds.flow_ttl_s", "60".to_owned()),
-        ("bootstrap", first_start.to_string()),
+        ("bootstrap", "true".to_owned()),
     ];
     for (name, value) in fields {
         text = text.replace(&format!("{{{{{name}}}}}"), &value);
--- a/review/stand_in/src/fraction.rs
+++ b/review/stand_in/src/fraction.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Instant;
 
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, SERVICE};
 use crate::packet::{ACK, SYN};
 use crate::{Outcome, ms, record, sleep_until};
 
@@ -18,14 +18,14 @@
     let mut fleet = Fleet::new(0);
     fleet.grace_s = if is_trouble { "6.5" } else { "6" };
     record(&format!("the settings have grace_s = {}", fleet.grace_s));
-    fleet.put_config(1, &[ROUTE.port()]);
+    fleet.put_config(1, &[ROUTE.port()], SERVICE);
     for side in 0..SIDES {
-        fleet.add_side(true);
+        fleet.add_side(SERVICE);
         fleet.start_backend(side);
         fleet.register_backend(side);
     }
     for _ in 0..FRONTS {
-        fleet.add_front(true);
+        fleet.add_front();
     }
     let mut ends = vec![0; FRONTS + SIDES];
     let deadline = Instant::now() + ms(5_000);
--- a/review/stand_in/src/handover.rs
+++ b/review/stand_in/src/handover.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use crate::client::Client;
-use crate::fleet::{Fleet, Machine};
+use crate::fleet::{Fleet, Machine, OTHER_SERVICE, SERVICE};
 use crate::packet::{ACK, RST, SYN};
 use crate::{Outcome, ms, record, sleep_until};
 
@@ -24,10 +24,11 @@
     backend: u8,
 }
 
-pub fn run(is_trouble: bool) -> Outcome {
+/// Plays the rounds; if `moves`, the new backends serve a new service, to which the route moves.
+pub fn run(is_trouble: bool, moves: bool) -> Outcome {
     let mut resets = 0;
     for round in 0..ROUNDS {
-        match play_round(round, is_trouble) {
+        match play_round(round, is_trouble, moves) {
             Some(count) => resets += count,
             None => return Outcome::CouldNotRun,
         }
@@ -43,23 +44,23 @@
 }
 
 /// Returns the number of open flows that were reset although their backend held them.
-fn play_round(round: usize, is_trouble: bool) -> Option<u32> {
+fn play_round(round: usize, is_trouble: bool, moves: bool) -> Option<u32> {
     record(&format!("round {}: a fleet starts", round + 1));
     let mut fleet = Fleet::new(round as u32);
-    fleet.put_config(1, &[ROUTE.port()]);
+    fleet.put_config(1, &[ROUTE.port()], SERVICE);
     for side in 0..SIDES {
-        fleet.add_side(true);
+        fleet.add_side(SERVICE);
         fleet.start_backend(side);
         fleet.register_backend(side);
     }
     // Further backends and their nodes run as well; these backends register once they are warm.
     let first_new = SIDES;
     for side in first_new..first_new + ADDED {
-        fleet.add_side(true);
+        fleet.add_side(if moves { OTHER_SERVICE } else { SERVICE });
         fleet.start_backend(side);
     }
     for _ in 0..FRONTS {
-        fleet.add_front(true);
+        fleet.add_front();
     }
     if !fleet.wait_ready() {
         record("not every process was ready in time");
@@ -88,6 +89,10 @@
             new_side + 1
         ));
     }
+    if moves {
+        fleet.put_config(2, &[ROUTE.port()], OTHER_SERVICE);
+        record("version 2 moves the route to their service: acked by the store");
+    }
     let front = 0;
     let data_addr = fleet.fronts[front].data_addr();
     let first_port = 10_000;
--- a/review/stand_in/src/leaving.rs
+++ b/review/stand_in/src/leaving.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use crate::client::Client;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, SERVICE};
 use crate::packet::{ACK, RST, SYN};
 use crate::{Outcome, ms, record, sleep_until};
 
@@ -46,15 +46,15 @@
 fn play_round(round: usize, is_trouble: bool) -> Option<u32> {
     record(&format!("round {}: a fleet starts", round + 1));
     let mut fleet = Fleet::new(round as u32);
-    fleet.put_config(1, &[ROUTE.port()]);
+    fleet.put_config(1, &[ROUTE.port()], SERVICE);
     let mut ids = Vec::new();
     for side in 0..SIDES {
-        fleet.add_side(true);
+        fleet.add_side(SERVICE);
         fleet.start_backend(side);
         ids.push(fleet.register_backend(side));
     }
     for _ in 0..FRONTS {
-        fleet.add_front(true);
+        fleet.add_front();
     }
     if !fleet.wait_ready() {
         record("not every process was ready in time");
--- a/review/stand_in/src/main.rs
+++ b/review/stand_in/src/main.rs
@@ -65,7 +65,8 @@
         "dark" => dark::run(is_trouble),
         "leaving" => leaving::run(is_trouble),
         "fraction" => fraction::run(is_trouble),
-        "handover" => handover::run(is_trouble),
+        "handover" => handover::run(is_trouble, false),
+        "moved" => handover::run(is_trouble, true),
         _ => Outcome::CouldNotRun,
     });
     match result {
