Reset only flows that the terminated upstream has sent packets of

Cause: an upstream that doesn't return a packet within 60 ms counted as the holder of its flow. A terminated one is silent too. Its agent claimed each flow that was looked up, the claim replaced that of the true holder, and at its SIGTERM the agent reset everything that it presumed to hold.

Only flows that this agent had owned were hit: other owners know the holder and look nothing up.

Ruled out: a search that ends too early (no lookup_lost); the check that the upstream is down (it was).

Change: claims carry their evidence, packets sent by the upstream or mere silence. A claim by silence never replaces one by packets, and yields to it in any order. An agent resets only what its upstream has sent packets of; of the accepted flows only those whose caller has used the acceptance.

--- a/crates/plantainquay_core/src/relay/agent.rs
+++ b/crates/plantainquay_core/src/relay/agent.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use parking_lot::{Mutex, MutexGuard, RwLock};
-use plantainquay_schema::{FiveTuple, FlowId, RelayBody, RelayMessage, ServiceId};
+use plantainquay_schema::{Claim, Evidence, FiveTuple, FlowId, RelayBody, RelayMessage, ServiceId};
 
 use self::flow::FlowShard;
 use self::pacing::PacingQueue;
@@ -138,7 +138,7 @@
                 lookup::on_probe(&mut cx, from, probe, packet);
             }
             (RelayBody::Accepted(tuple), _) => lookup::on_accepted(&mut cx, from, tuple),
-            (RelayBody::Located(tuple), _) => lookup::on_located(&mut cx, from, tuple),
+            (RelayBody::Located(claim), _) => lookup::on_located(&mut cx, from, claim),
             (RelayBody::NotHeld(tuple), _) => lookup::on_not_held(&mut cx, from, tuple),
             _ => cx.actions.push(Action::Drop(DropReason::UnknownFlow)),
         }
@@ -176,11 +176,13 @@
         }
     }
 
-    /// Resets every open flow after the upstream has terminated.
+    /// Resets the open flows that the upstream is known to have held, after it has terminated.
+    ///
+    /// Flows that it only seemed to hold may be open at another upstream.
     pub fn upstream_ended(&self) -> Actions {
         let mut actions = Actions::new();
         for shard in &self.shards {
-            actions.extend(shard.lock().reset_open());
+            actions.extend(shard.lock().reset_held());
         }
         actions
     }
@@ -248,10 +250,10 @@
             .push(Action::Send(to, RelayMessage { service, body }));
     }
 
-    /// Notifies another process that the flow is held here.
-    fn send_located(&mut self, tuple: FiveTuple, to: SocketAddr) {
+    /// Claims the flow towards another process.
+    fn send_located(&mut self, tuple: FiveTuple, evidence: Evidence, to: SocketAddr) {
         if to != self.own_address() {
-            self.send(to, RelayBody::Located(tuple));
+            self.send(to, RelayBody::Located(Claim { tuple, evidence }));
         }
     }
 }
--- a/crates/plantainquay_core/src/relay/agent/established.rs
+++ b/crates/plantainquay_core/src/relay/agent/established.rs
@@ -31,13 +31,13 @@
     match &mut entry.state {
         FlowState::Offered(_)
         | FlowState::Accepted
-        | FlowState::Presumed
+        | FlowState::Presumed(_)
         | FlowState::Open
         | FlowState::Closing => {
             let is_detour = established.hops > 0 || from != established.balancer;
             let is_open = matches!(entry.state, FlowState::Open);
             if is_detour && is_open || established.wants_answer && entry.counts_as_open() {
-                cx.send_located(packet.tuple, established.balancer);
+                cx.send_located(packet.tuple, entry.evidence(), established.balancer);
             }
             deliver_or_enqueue(cx, entry, established, packet);
         }
--- a/crates/plantainquay_core/src/relay/agent/flow.rs
+++ b/crates/plantainquay_core/src/relay/agent/flow.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use plantainquay_schema::{EstablishedPacket, FiveTuple, FlowId, OpeningPacket, StoreRevision};
+use plantainquay_schema::{
+    EstablishedPacket, Evidence, FiveTuple, FlowId, OpeningPacket, StoreRevision,
+};
 use smallvec::SmallVec;
 
 use crate::Timestamp;
@@ -57,7 +59,7 @@
     /// The upstream answered the opening packet.
     Accepted,
     /// The upstream has neither returned the flow's packets nor sent any of its own.
-    Presumed,
+    Presumed(Presumption),
     /// The upstream holds the flow and has sent packets of it.
     Open,
     /// One or both ends have closed the flow, or it was reset.
@@ -80,10 +82,19 @@
     pub(super) upstreams_revision: StoreRevision,
 }
 
+/// A flow that the upstream may hold, or whose packets it no longer reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Presumption {
+    /// The other agent that looked up the flow, if any.
+    pub(super) requester: Option<SocketAddr>,
+}
+
 /// The agent whose upstream holds a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Holder {
     pub(super) agent: SocketAddr,
+    /// Evidence for the agent's claim.
+    pub(super) evidence: Evidence,
     /// Time of the agent's claim.
     pub(super) claimed_at: Timestamp,
 }
@@ -204,13 +215,14 @@
         });
     }
 
-    /// Marks every open flow as closing and returns resets for them.
-    pub(super) fn reset_open(&mut self) -> Actions {
-        let open = self
+    /// Marks every flow that the upstream is known to have held as closing and returns resets for
+    /// them.
+    pub(super) fn reset_held(&mut self) -> Actions {
+        let held = self
             .flows
             .values_mut()
-            .filter(|entry| entry.counts_as_open());
-        open.map(|entry| {
+            .filter(|entry| entry.was_surely_held());
+        held.map(|entry| {
             entry.state = FlowState::Closing;
             entry.reset(ResetReason::UpstreamEnded)
         })
@@ -272,10 +284,31 @@
     pub(super) fn counts_as_open(&self) -> bool {
         matches!(
             self.state,
-            FlowState::Accepted | FlowState::Presumed | FlowState::Open
+            FlowState::Accepted | FlowState::Presumed(_) | FlowState::Open
         )
     }
 
+    /// Returns true if both ends have used the flow with this upstream.
+    ///
+    /// The caller of an accepted flow may have used the answer of another upstream, unless its
+    /// next packet arrived here.
+    fn was_surely_held(&self) -> bool {
+        match self.state {
+            FlowState::Open => true,
+            FlowState::Accepted => self.caller_ack > 0,
+            _ => false,
+        }
+    }
+
+    /// Returns the evidence that the upstream holds a flow that counts as open.
+    pub(super) fn evidence(&self) -> Evidence {
+        if matches!(self.state, FlowState::Presumed(_)) {
+            Evidence::Silence
+        } else {
+            Evidence::SentPackets
+        }
+    }
+
     /// Creates a reset of this flow.
     pub(super) fn reset(&self, reason: ResetReason) -> Action {
         Action::Reset {
--- a/crates/plantainquay_core/src/relay/agent/lookup.rs
+++ b/crates/plantainquay_core/src/relay/agent/lookup.rs
@@ -4,10 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use plantainquay_schema::{EstablishedPacket, FiveTuple, FlowId, LostFlow, RelayBody};
+use plantainquay_schema::{
+    Claim, EstablishedPacket, Evidence, FiveTuple, FlowId, LostFlow, RelayBody,
+};
 use smallvec::SmallVec;
 
-use super::flow::{FlowEntry, FlowShard, FlowState, Holder, Lookup, Loss, PacketQueue, Trial};
+use super::flow::{
+    FlowEntry, FlowShard, FlowState, Holder, Lookup, Loss, PacketQueue, Presumption, Trial,
+};
 use super::{Action, Context};
 use crate::relay::{Candidate, CandidateState, Decision, DropReason, Packet, ServiceCandidates};
 
@@ -41,8 +45,8 @@
     let mut shard = cx.agent.shard(flow);
     if let Some(entry) = shard.get_mut(flow, &packet.tuple) {
         if matches!(entry.state, FlowState::Open) {
-            cx.send_located(packet.tuple, from);
-            cx.send_located(packet.tuple, probe.balancer);
+            cx.send_located(packet.tuple, Evidence::SentPackets, from);
+            cx.send_located(packet.tuple, Evidence::SentPackets, probe.balancer);
             entry.balancer = Some(probe.balancer);
             return super::established::deliver_or_enqueue(cx, entry, probe, packet);
         }
@@ -82,6 +86,7 @@
         // The requester keeps track of the holder; here the holder stays unknown.
         entry.state = FlowState::Remote(Holder {
             agent: requester,
+            evidence: Evidence::Silence,
             claimed_at: cx.now,
         });
         return cx.send(requester, RelayBody::NotHeld(tuple));
@@ -151,11 +156,14 @@
     candidates.filter(move |c| c.agent != own && !lookup.denied_by.contains(&c.agent))
 }
 
-pub(super) fn on_located(cx: &mut Context<'_>, from: SocketAddr, tuple: FiveTuple) {
+/// Handles the claim of an agent that its upstream holds a flow, unless there is a stronger one.
+pub(super) fn on_located(cx: &mut Context<'_>, from: SocketAddr, claim: Claim) {
+    let tuple = claim.tuple;
     let flow = tuple.flow_id();
     let mut shard = cx.agent.shard(flow);
     let holder = Holder {
         agent: from,
+        evidence: claim.evidence,
         claimed_at: cx.now,
     };
     let Some(entry) = shard.get_mut(flow, &tuple) else {
@@ -163,6 +171,16 @@
         return;
     };
     if entry.counts_as_open() {
+        if entry.evidence() >= claim.evidence {
+            return;
+        }
+        cx.with_meter(|meter| entry.close(cx.now, meter));
+    }
+    if let FlowState::Remote(current) = &entry.state
+        && current.agent != from
+        && current.evidence > claim.evidence
+        && may_still_hold(cx, current)
+    {
         return;
     }
     entry.last_packet_at = cx.now;
@@ -194,6 +212,7 @@
     if shard.get_mut(flow, &tuple).is_none() {
         let holder = Holder {
             agent: from,
+            evidence: Evidence::SentPackets,
             claimed_at: cx.now,
         };
         shard.insert(cx.now, tuple, FlowState::Remote(holder));
@@ -323,7 +342,10 @@
     while let Some(entry) = shard.next_expired(cx.now) {
         match &mut entry.state {
             FlowState::OnTrial(trial) if cx.now.since(trial.started_at) >= TRIAL_TIMEOUT => {
-                end_trial(cx, entry, FlowState::Presumed);
+                let presumption = Presumption {
+                    requester: trial.requester,
+                };
+                end_trial(cx, entry, FlowState::Presumed(presumption));
             }
             FlowState::LookingUp(lookup) => {
                 if cx.now < lookup.next_tick_at {
@@ -353,7 +375,7 @@
     }
 }
 
-/// Ends a trial on the assumption that the upstream holds the flow.
+/// Ends a trial without a returned packet: claims the flow, in `state`.
 pub(super) fn end_trial(cx: &mut Context<'_>, entry: &mut FlowEntry, state: FlowState) {
     let FlowState::OnTrial(trial) = &mut entry.state else {
         return;
@@ -362,7 +384,7 @@
     let queue = std::mem::take(&mut trial.queue);
     cx.with_meter(|meter| entry.open(state, meter));
     for process in recipients.into_iter().flatten() {
-        cx.send_located(entry.tuple, process);
+        cx.send_located(entry.tuple, entry.evidence(), process);
     }
     for established in queue {
         cx.actions.push(Action::ToUpstream(established.packet));
--- a/crates/plantainquay_core/src/relay/agent/opening.rs
+++ b/crates/plantainquay_core/src/relay/agent/opening.rs
@@ -25,7 +25,10 @@
     if let Some(entry) = shard.get_mut(flow, &packet.tuple) {
         match &entry.state {
             // A retransmission is sent to the upstream that received the first transmission.
-            FlowState::Offered(_) | FlowState::Accepted | FlowState::Presumed | FlowState::Open => {
+            FlowState::Offered(_)
+            | FlowState::Accepted
+            | FlowState::Presumed(_)
+            | FlowState::Open => {
                 entry.last_packet_at = cx.now;
                 if entry.counts_as_open() {
                     cx.send(opening.balancer, RelayBody::Accepted(packet.tuple));
--- a/crates/plantainquay_core/src/relay/agent/upstream.rs
+++ b/crates/plantainquay_core/src/relay/agent/upstream.rs
@@ -1,7 +1,7 @@
 //! Handling of packets that the upstream sends or returns.
 
 use bytes::Bytes;
-use plantainquay_schema::RelayBody;
+use plantainquay_schema::{Evidence, RelayBody};
 
 use super::flow::{FlowState, PacketQueue};
 use super::{Action, Context, lookup, opening};
@@ -37,7 +37,7 @@
             cx.record_decision(packet.tuple, Decision::UpstreamLostFlow, None, 0);
             cx.actions.push(entry.reset(ResetReason::UpstreamLostFlow));
         }
-        FlowState::Accepted | FlowState::Presumed => {
+        FlowState::Accepted | FlowState::Presumed(_) => {
             // The caller may have accepted another upstream's answer to a retransmission.
             cx.with_meter(|meter| entry.close(cx.now, meter));
             lookup::start_lookup(cx, entry, bytes, PacketQueue::new());
@@ -86,8 +86,14 @@
                 }
             }
             FlowState::OnTrial(_) if !packet.syn => lookup::end_trial(cx, entry, FlowState::Open),
-            FlowState::Accepted | FlowState::Presumed if !packet.syn => {
+            FlowState::Accepted if !packet.syn => entry.state = FlowState::Open,
+            FlowState::Presumed(presumption) if !packet.syn => {
+                // Replaces the claims of other agents that only presume to hold the flow.
+                let recipients = [entry.balancer, presumption.requester];
                 entry.state = FlowState::Open;
+                for process in recipients.into_iter().flatten() {
+                    cx.send_located(packet.tuple, Evidence::SentPackets, process);
+                }
             }
             FlowState::Remote(_) | FlowState::LookingUp(_) if !packet.syn && !packet.reset => {
                 cx.with_meter(|meter| entry.open(FlowState::Open, meter));
--- a/crates/plantainquay_core/src/relay/balancer.rs
+++ b/crates/plantainquay_core/src/relay/balancer.rs
@@ -128,7 +128,7 @@
         let mut cx = Context::new(self, now);
         match message.body {
             RelayBody::Accepted(tuple) => cx.on_accepted(from, message.service, tuple),
-            RelayBody::Located(tuple) => cx.on_located(from, message.service, tuple),
+            RelayBody::Located(claim) => cx.on_located(from, message.service, claim),
             RelayBody::Lost(lost) => cx.on_lost(view_age, message.service, lost),
             RelayBody::Refused(tuple) => cx.on_refused(tuple),
             _ => cx.actions.push(Action::Drop(DropReason::UnknownFlow)),
--- a/crates/plantainquay_core/src/relay/balancer/cache.rs
+++ b/crates/plantainquay_core/src/relay/balancer/cache.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use plantainquay_schema::{FiveTuple, FlowId, ServiceId};
+use plantainquay_schema::{Evidence, FiveTuple, FlowId, ServiceId};
 use smallvec::SmallVec;
 
 use super::search::ServiceSearch;
@@ -41,6 +41,8 @@
     pub(super) tuple: FiveTuple,
     pub(super) service: ServiceId,
     pub(super) agent: SocketAddr,
+    /// Evidence for the agent's claim; `None` if it hasn't claimed the flow.
+    pub(super) evidence: Option<Evidence>,
     pub(super) last_packet_at: Timestamp,
     pub(super) caller_ack: u32,
     /// The opening packet, until an upstream accepts it.
@@ -73,6 +75,7 @@
             tuple,
             service,
             agent,
+            evidence: None,
             last_packet_at: now,
             caller_ack: 0,
             pending: None,
--- a/crates/plantainquay_core/src/relay/balancer/event.rs
+++ b/crates/plantainquay_core/src/relay/balancer/event.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use plantainquay_schema::{
-    EstablishedPacket, FiveTuple, FlowId, LostFlow, OpeningPacket, RelayBody, RelayMessage, Route,
-    ServiceId, StoreRevision, VisitedAgents,
+    Claim, EstablishedPacket, Evidence, FiveTuple, FlowId, LostFlow, OpeningPacket, RelayBody,
+    RelayMessage, Route, ServiceId, StoreRevision, VisitedAgents,
 };
 use smallvec::smallvec;
 
@@ -178,18 +178,26 @@
         {
             entry.service = service;
             entry.agent = from;
+            entry.evidence = Some(Evidence::SentPackets);
         }
     }
 
-    pub(super) fn on_located(&mut self, from: SocketAddr, service: ServiceId, tuple: FiveTuple) {
+    /// Handles an agent's claim of a flow, unless another agent has a stronger one.
+    pub(super) fn on_located(&mut self, from: SocketAddr, service: ServiceId, claim: Claim) {
+        let tuple = claim.tuple;
         let flow = tuple.flow_id();
         let mut shard = self.balancer.shard(flow);
         let Some(entry) = shard.get_mut(flow, &tuple) else {
             return;
         };
+        let is_weaker = entry.agent != from && entry.evidence > Some(claim.evidence);
+        if is_weaker && entry.search.is_none() && self.is_listed(entry.service, entry.agent) {
+            return;
+        }
         entry.pending = None;
         entry.service = service;
         entry.agent = from;
+        entry.evidence = Some(claim.evidence);
         entry.search = None;
         shard.release_packet(flow);
     }
@@ -234,6 +242,7 @@
             SearchStep::Ask(service, owner) => {
                 entry.service = service;
                 entry.agent = owner;
+                entry.evidence = None;
                 self.count(|c| c.further_services_asked += 1);
                 self.record_decision(tuple, Decision::FurtherServiceAsked, owner, Some(denials));
                 if let Some(packet) = shard.held_packet(flow) {
@@ -316,6 +325,7 @@
         };
         pending.tried_agents.push(agent);
         entry.agent = agent;
+        entry.evidence = None;
         let packet = pending.packet.clone();
         let service = entry.service;
         let attempts = u64::try_from(pending.tried_agents.len()).ok();
--- a/crates/plantainquay_core/tests/relay/lookup.rs
+++ b/crates/plantainquay_core/tests/relay/lookup.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use plantainquay_core::relay::{Action, Actions, Packet, RelayAgent, RelayView};
 use plantainquay_core::{FiveTuple, Fleet, Timestamp};
-use plantainquay_schema::{Changes, Departure, EstablishedPacket, RelayBody};
+use plantainquay_schema::{Changes, Claim, Departure, EstablishedPacket, Evidence, RelayBody};
 use rstest::rstest;
 
 fn view(age: Option<Duration>) -> Arc<RelayView> {
@@ -114,7 +114,11 @@
     let body = EstablishedPacket::new(Bytes::from_static(b"data"), process(9));
     let body = RelayBody::Established(body.with_wants_answer(wants_answer));
     let actions = agent.on_message(now, process(9), message(body), Some(&packet(tuple, 10)));
-    let located = Action::Send(process(9), message(RelayBody::Located(tuple)));
+    let claim = Claim {
+        tuple,
+        evidence: Evidence::SentPackets,
+    };
+    let located = Action::Send(process(9), message(RelayBody::Located(claim)));
     assert_eq!(actions.contains(&located), is_expected);
     assert!(actions.iter().any(|a| matches!(a, Action::ToUpstream(_))));
 }
--- a/crates/plantainquay_core/tests/relay/main.rs
+++ b/crates/plantainquay_core/tests/relay/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of balancers and agents on single packets and messages.
 
+mod claims;
 mod lookup;
 mod opening;
 mod pacing;
--- a/crates/plantainquay_core/tests/relay/search.rs
+++ b/crates/plantainquay_core/tests/relay/search.rs
@@ -13,8 +13,8 @@
 };
 use plantainquay_core::{FiveTuple, Fleet, FleetVersion, Timestamp};
 use plantainquay_schema::{
-    Changes, Generation, LostFlow, RelayBody, RelayMessage, Route, RouteDocument, ServiceId,
-    StoreRevision, UpstreamEntry, WeightedService,
+    Changes, Claim, Evidence, Generation, LostFlow, RelayBody, RelayMessage, Route, RouteDocument,
+    ServiceId, StoreRevision, UpstreamEntry, WeightedService,
 };
 use rstest::rstest;
 
@@ -252,7 +252,11 @@
     let denied = site.answer(2_001, first, first_service, lost(1, 1));
     let (holder, service) = asked(&denied).expect("the former service is asked at once");
     assert_eq!((holder, service), (process(1), ServiceId::of("s0")));
-    site.answer(2_002, holder, service, RelayBody::Located(tuple(1)));
+    let claim = Claim {
+        tuple: tuple(1),
+        evidence: Evidence::SentPackets,
+    };
+    site.answer(2_002, holder, service, RelayBody::Located(claim));
     let later = asked(&site.send(2_010, 1));
     assert_eq!(later, Some((process(1), ServiceId::of("s0"))));
 }
--- a/crates/plantainquay_schema/src/lib.rs
+++ b/crates/plantainquay_schema/src/lib.rs
@@ -43,8 +43,8 @@
 pub use instances::{Instance, parse_instances};
 pub use name::Name;
 pub use relay::{
-    AgentLoad, EstablishedPacket, LostFlow, OpeningPacket, RelayBody, RelayError, RelayMessage,
-    VisitedAgents,
+    AgentLoad, Claim, EstablishedPacket, Evidence, LostFlow, OpeningPacket, RelayBody, RelayError,
+    RelayMessage, VisitedAgents,
 };
 pub use relay_settings::{RelayAgentSettings, RelayRole, RelaySettings};
 pub use settings::{AgentSettings, Key, KeyId, Platform, Role, Settings};
--- a/crates/plantainquay_schema/src/relay.rs
+++ b/crates/plantainquay_schema/src/relay.rs
@@ -36,8 +36,8 @@
     Probe(EstablishedPacket),
     /// The sender's upstream has answered the opening packet of the flow.
     Accepted(FiveTuple),
-    /// The sender's upstream holds the flow.
-    Located(FiveTuple),
+    /// The sender's upstream holds the flow, on the stated evidence.
+    Located(Claim),
     /// The sender's upstream does not hold the flow.
     NotHeld(FiveTuple),
     /// Every upstream of the service has reported that it does not hold the flow.
@@ -62,6 +62,25 @@
     }
 }
 
+/// An agent's claim that its upstream holds a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// The flow.
+    pub tuple: FiveTuple,
+    /// Evidence for the claim.
+    pub evidence: Evidence,
+}
+
+/// Evidence that an upstream holds a flow; stronger evidence compares greater.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Evidence {
+    /// The upstream hasn't returned the flow's packets, which is also true of one that has
+    /// terminated.
+    Silence,
+    /// The upstream has sent packets of the flow.
+    SentPackets,
+}
+
 /// A flow that no upstream of a service holds, as far as the sender knows the service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LostFlow {
@@ -187,7 +206,7 @@
             RelayBody::Established(established) => Body::Established(established.try_into()?),
             RelayBody::Probe(probe) => Body::Probe(probe.try_into()?),
             RelayBody::Accepted(tuple) => Body::Accepted(tuple.try_into()?),
-            RelayBody::Located(tuple) => Body::Located(tuple.try_into()?),
+            RelayBody::Located(claim) => Body::Located(claim.try_into()?),
             RelayBody::NotHeld(tuple) => Body::NotHeld(tuple.try_into()?),
             RelayBody::Lost(lost) => Body::Lost(lost.try_into()?),
             RelayBody::Refused(tuple) => Body::Refused(tuple.try_into()?),
@@ -209,7 +228,7 @@
             Body::Established(established) => RelayBody::Established(established.try_into()?),
             Body::Probe(probe) => RelayBody::Probe(probe.try_into()?),
             Body::Accepted(flow) => RelayBody::Accepted(flow.try_into()?),
-            Body::Located(flow) => RelayBody::Located(flow.try_into()?),
+            Body::Located(claim) => RelayBody::Located(claim.try_into()?),
             Body::NotHeld(flow) => RelayBody::NotHeld(flow.try_into()?),
             Body::Lost(lost) => RelayBody::Lost(lost.try_into()?),
             Body::Refused(flow) => RelayBody::Refused(flow.try_into()?),
@@ -310,6 +329,38 @@
     }
 }
 
+impl TryFrom<&Claim> for wire::relay::Claim {
+    type Error = RelayError;
+
+    fn try_from(claim: &Claim) -> Result<Self, RelayError> {
+        let flow = wire::relay::Flow::try_from(&claim.tuple)?;
+        Ok(Self {
+            caller: flow.caller,
+            listener: flow.listener,
+            presumed: claim.evidence == Evidence::Silence,
+        })
+    }
+}
+
+impl TryFrom<wire::relay::Claim> for Claim {
+    type Error = RelayError;
+
+    fn try_from(claim: wire::relay::Claim) -> Result<Self, RelayError> {
+        let flow = wire::relay::Flow {
+            caller: claim.caller,
+            listener: claim.listener,
+        };
+        Ok(Self {
+            tuple: flow.try_into()?,
+            evidence: if claim.presumed {
+                Evidence::Silence
+            } else {
+                Evidence::SentPackets
+            },
+        })
+    }
+}
+
 impl TryFrom<&LostFlow> for wire::relay::LostFlow {
     type Error = RelayError;
 
