--- a/crates/plantainquay_core/src/relay.rs
+++ b/crates/plantainquay_core/src/relay.rs
@@ -13,7 +13,8 @@
 //! - A balancer sends a packet of a flow that isn't in its cache to the owner. An owner without an
 //!   entry for the flow tries its own upstream, then probes all other agents of the service in
 //!   parallel.
-//! - A flow is reset only when every upstream has denied it, or when the upstream that held it
+//! - A flow is reset only when every upstream has denied it that the store listed after the first
+//!   packet of the search, or when the upstream that held it
 //!   returns its packets.
 
 mod action;
@@ -36,4 +37,5 @@
 pub use packet::Packet;
 pub use policy::RelayPolicy;
 pub use sources::{Sources, choose_sources};
+use view::is_confirmed_since;
 pub use view::{Candidate, CandidateState, RelayView, ServiceCandidates};
--- a/crates/plantainquay_core/src/relay/agent.rs
+++ b/crates/plantainquay_core/src/relay/agent.rs
@@ -10,6 +10,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use parking_lot::{Mutex, MutexGuard, RwLock};
@@ -19,7 +20,7 @@
 use self::pacing::PacingQueue;
 use super::{
     Action, Actions, CandidateState, Decision, DropReason, LoadMeter, Packet, RelayPolicy,
-    RelayView, ServiceCandidates,
+    RelayView, ServiceCandidates, is_confirmed_since,
 };
 use crate::Timestamp;
 
@@ -114,9 +115,13 @@
     }
 
     /// Handles a message from another process; `packet` describes the carried packet, if any.
+    ///
+    /// `view_age` returns the time since the view was last confirmed to match the store; it is
+    /// called only for flows that every other agent has denied.
     pub fn on_message(
         &self,
         now: Timestamp,
+        view_age: &dyn Fn() -> Option<Duration>,
         from: SocketAddr,
         message: RelayMessage,
         packet: Option<&Packet>,
@@ -126,7 +131,7 @@
             return Actions::from_iter([Action::Drop(DropReason::WrongService)]);
         }
         self.silent_former_agents.lock().remove(&from);
-        let mut cx = Context::new(self, now);
+        let mut cx = Context::new(self, now, view_age);
         match (message.body, packet) {
             (RelayBody::Opening(opening), Some(packet)) => {
                 opening::on_opening(&mut cx, opening, packet);
@@ -145,9 +150,15 @@
         cx.actions
     }
 
-    /// Handles a packet that the upstream sent or returned.
-    pub fn on_upstream_packet(&self, now: Timestamp, packet: &Packet, bytes: Bytes) -> Actions {
-        let mut cx = Context::new(self, now);
+    /// Handles a packet that the upstream sent or returned; see [`Self::on_message`] for `view_age`.
+    pub fn on_upstream_packet(
+        &self,
+        now: Timestamp,
+        view_age: &dyn Fn() -> Option<Duration>,
+        packet: &Packet,
+        bytes: Bytes,
+    ) -> Actions {
+        let mut cx = Context::new(self, now, view_age);
         if packet.returned {
             upstream::on_returned(&mut cx, packet, bytes);
         } else {
@@ -157,9 +168,10 @@
         cx.actions
     }
 
-    /// Ends trials, continues lookups and sends queued requests up to the upstream's limit.
-    pub fn on_tick(&self, now: Timestamp) -> Actions {
-        let mut cx = Context::new(self, now);
+    /// Ends trials, continues lookups and sends queued requests up to the upstream's limit; see
+    /// [`Self::on_message`] for `view_age`.
+    pub fn on_tick(&self, now: Timestamp, view_age: &dyn Fn() -> Option<Duration>) -> Actions {
+        let mut cx = Context::new(self, now, view_age);
         for shard in &self.shards {
             let mut shard = shard.lock();
             lookup::on_tick(&mut cx, &mut shard);
@@ -197,15 +209,21 @@
     agent: &'a RelayAgent,
     view: Arc<RelayView>,
     now: Timestamp,
+    view_age: &'a dyn Fn() -> Option<Duration>,
     actions: Actions,
 }
 
 impl<'a> Context<'a> {
-    fn new(agent: &'a RelayAgent, now: Timestamp) -> Self {
+    fn new(
+        agent: &'a RelayAgent,
+        now: Timestamp,
+        view_age: &'a dyn Fn() -> Option<Duration>,
+    ) -> Self {
         Self {
             agent,
             view: Arc::clone(&agent.view.read()),
             now,
+            view_age,
             actions: Actions::new(),
         }
     }
@@ -222,6 +240,11 @@
         update(&mut self.agent.meter.lock());
     }
 
+    /// Returns true if the view matched the store at `time` or later.
+    fn is_view_confirmed_since(&self, time: Timestamp) -> bool {
+        self.view.is_confirmed() && is_confirmed_since(time, self.now, (self.view_age)())
+    }
+
     fn candidates(&self) -> Option<&ServiceCandidates> {
         self.view.service(self.agent.config.service)
     }
--- a/crates/plantainquay_core/src/relay/agent/established.rs
+++ b/crates/plantainquay_core/src/relay/agent/established.rs
@@ -62,7 +62,8 @@
             lookup::start_trial(cx, &mut shard, established, packet, None);
         }
         FlowState::Lost(loss) if lookup::is_still_lost(cx, loss) => {
-            lookup::send_lost(cx, packet.tuple, established.balancer, loss);
+            let revision = loss.upstreams_revision;
+            lookup::send_lost(cx, packet.tuple, established.balancer, revision, true);
         }
         FlowState::Lost(_) => {
             lookup::start_trial(cx, &mut shard, established, packet, None);
--- a/crates/plantainquay_core/src/relay/agent/flow.rs
+++ b/crates/plantainquay_core/src/relay/agent/flow.rs
@@ -113,6 +113,9 @@
 /// A lookup of a flow among the other agents.
 #[derive(Debug)]
 pub(super) struct Lookup {
+    /// Time of the first packet, which the upstream that holds the flow was listed before.
+    pub(super) requested_at: Timestamp,
+    /// Start of the current window of denials.
     pub(super) started_at: Timestamp,
     pub(super) last_round_at: Timestamp,
     /// Earliest time at which a timer continues the lookup.
@@ -120,6 +123,10 @@
     /// The packet with which the other agents are probed.
     pub(super) probe: EstablishedPacket,
     pub(super) denied_by: SmallVec<[SocketAddr; 16]>,
+    /// True while every known agent has denied the flow, but the list may lack one.
+    pub(super) awaits_confirmation: bool,
+    /// The balancer that knows that every known agent has denied the flow, until its next packet.
+    pub(super) reported_to: Option<SocketAddr>,
     pub(super) queue: PacketQueue,
 }
 
--- a/crates/plantainquay_core/src/relay/agent/lookup.rs
+++ b/crates/plantainquay_core/src/relay/agent/lookup.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use plantainquay_schema::{
-    Claim, EstablishedPacket, Evidence, FiveTuple, FlowId, LostFlow, RelayBody,
+    Claim, EstablishedPacket, Evidence, FiveTuple, FlowId, LostFlow, RelayBody, StoreRevision,
 };
 use smallvec::SmallVec;
 
@@ -13,6 +13,7 @@
     FlowEntry, FlowShard, FlowState, Holder, Lookup, Loss, PacketQueue, Presumption, Trial,
 };
 use super::{Action, Context};
+use crate::Timestamp;
 use crate::relay::{Candidate, CandidateState, Decision, DropReason, Packet, ServiceCandidates};
 
 /// Time without a returned packet after which the upstream is assumed to hold a flow on trial.
@@ -28,6 +29,11 @@
 ///
 /// An agent with an older denial may have restarted since, and others with it.
 const DENIAL_WINDOW: Duration = Duration::from_secs(1);
+/// Time for which a lookup that every known agent has denied waits for the confirmation that no
+/// other agent is listed.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(5);
+/// Interval at which such a lookup checks for the confirmation.
+const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for which a lookup waits for answers from agents that the store no longer lists.
 const FORMER_AGENT_TIMEOUT: Duration = Duration::from_millis(300);
 /// The same for agents that didn't answer an earlier lookup either: several round trips to an agent
@@ -107,11 +113,14 @@
     };
     cx.count(|c| c.lookups += 1);
     let mut lookup = Lookup {
+        requested_at: cx.now,
         started_at: cx.now,
         last_round_at: cx.now,
         next_tick_at: cx.now + PROBE_INTERVAL,
         probe: EstablishedPacket::new(bytes, balancer),
         denied_by: SmallVec::new(),
+        awaits_confirmation: false,
+        reported_to: None,
         queue,
     };
     let probed_agents = send_probes(cx, &mut lookup);
@@ -129,6 +138,11 @@
         return false;
     };
     entry.last_packet_at = cx.now;
+    lookup.reported_to = None;
+    if awaits_confirmation(cx, lookup) {
+        finish_if_denied(cx, entry);
+        return true;
+    }
     if restart_if_old(cx, lookup) {
         return true;
     }
@@ -236,13 +250,14 @@
     };
     match &mut entry.state {
         FlowState::LookingUp(lookup) => {
+            if lookup.denied_by.contains(&from) {
+                return;
+            }
             if restart_if_old(cx, lookup) {
                 shard.timers.schedule(cx.now + PROBE_INTERVAL, flow);
                 return;
             }
-            if !lookup.denied_by.contains(&from) {
-                lookup.denied_by.push(from);
-            }
+            lookup.denied_by.push(from);
             finish_if_denied(cx, entry);
         }
         FlowState::Remote(holder) if holder.agent == from => entry.state = FlowState::Closing,
@@ -272,32 +287,49 @@
     cx.record_decision(entry.tuple, Decision::LookupUnanswered, first, count);
 }
 
-/// Ends the lookup if every upstream has denied the flow.
+/// Ends the lookup if every upstream that may hold the flow has denied it.
+///
+/// If the list of upstreams wasn't confirmed since the flow's first packet, it may lack the one that
+/// holds the flow: the balancer learns that the known ones have denied it, and the lookup goes on.
 fn finish_if_denied(cx: &mut Context<'_>, entry: &mut FlowEntry) {
-    let FlowState::LookingUp(lookup) = &entry.state else {
+    let FlowState::LookingUp(lookup) = &mut entry.state else {
         return;
     };
-    let Some(candidates) = cx.candidates().filter(|_| cx.view.is_confirmed()) else {
+    let Some(upstreams_revision) = cx.candidates().map(ServiceCandidates::revision) else {
         return;
     };
     if awaits_answer(cx, lookup) {
         return;
     }
-    let upstreams_revision = candidates.revision();
     let tuple = entry.tuple;
-    let micros = cx.micros_since(lookup.started_at);
+    if !cx.is_view_confirmed_since(lookup.requested_at) {
+        cx.actions.push(Action::ConfirmView);
+        let balancer = entry.balancer.filter(|b| lookup.reported_to != Some(*b));
+        if let Some(balancer) = balancer {
+            lookup.reported_to = Some(balancer);
+            let denials = lookup.denied_by.len() as u64;
+            cx.record_decision(tuple, Decision::LookupUnconfirmed, None, denials);
+            send_lost(cx, tuple, balancer, upstreams_revision, false);
+        }
+        return;
+    }
+    let micros = cx.micros_since(lookup.requested_at);
     cx.record_decision(tuple, Decision::LookupLost, None, micros);
-    let loss = Loss {
+    entry.state = FlowState::Lost(Loss {
         found_at: cx.now,
         upstreams_revision,
-    };
-    entry.state = FlowState::Lost(loss);
+    });
     cx.count(|c| c.lost_flows += 1);
     if let Some(balancer) = entry.balancer {
-        send_lost(cx, tuple, balancer, &loss);
+        send_lost(cx, tuple, balancer, upstreams_revision, true);
     }
 }
 
+/// Returns true if every known upstream has denied the flow, but the list may lack one.
+fn awaits_confirmation(cx: &Context<'_>, lookup: &Lookup) -> bool {
+    !awaits_answer(cx, lookup) && !cx.is_view_confirmed_since(lookup.requested_at)
+}
+
 /// Returns true if the lookup waits for an agent that may hold the flow.
 ///
 /// An agent that has left the list is awaited for a limited time, which is shorter while it stays
@@ -327,18 +359,26 @@
     is_recent && revision == Some(loss.upstreams_revision)
 }
 
-/// Notifies a balancer that no upstream of the service holds a flow.
-pub(super) fn send_lost(cx: &mut Context<'_>, tuple: FiveTuple, balancer: SocketAddr, loss: &Loss) {
+/// Notifies a balancer that no upstream of the service holds a flow, or none of those that are
+/// known here if the list isn't complete.
+pub(super) fn send_lost(
+    cx: &mut Context<'_>,
+    tuple: FiveTuple,
+    balancer: SocketAddr,
+    upstreams_revision: StoreRevision,
+    is_complete: bool,
+) {
     let flow = LostFlow {
         tuple,
-        upstreams_revision: Some(loss.upstreams_revision),
+        upstreams_revision: Some(upstreams_revision),
+        is_complete,
     };
     cx.send(balancer, RelayBody::Lost(flow));
 }
 
 /// Ends trials without a returned packet, and continues unanswered lookups.
 pub(super) fn on_tick(cx: &mut Context<'_>, shard: &mut FlowShard) {
-    let mut rescheduled: SmallVec<[FlowId; 4]> = SmallVec::new();
+    let mut rescheduled: SmallVec<[(Timestamp, FlowId); 4]> = SmallVec::new();
     while let Some(entry) = shard.next_expired(cx.now) {
         match &mut entry.state {
             FlowState::OnTrial(trial) if cx.now.since(trial.started_at) >= TRIAL_TIMEOUT => {
@@ -352,27 +392,50 @@
                     // The timer of the trial before; the lookup has its own.
                     continue;
                 }
-                lookup.next_tick_at = cx.now + PROBE_INTERVAL;
-                // A tick is this late after a pause of the process.
-                let was_paused = cx.now.since(lookup.last_round_at) > DENIAL_WINDOW;
-                if was_paused && restart_if_old(cx, lookup) {
-                    rescheduled.push(entry.tuple.flow_id());
-                    continue;
-                }
-                if cx.now.since(lookup.started_at) < DENIAL_WINDOW {
-                    send_probes(cx, lookup);
-                    rescheduled.push(entry.tuple.flow_id());
-                    finish_if_denied(cx, entry);
-                } else {
-                    record_unanswered(cx, entry);
+                if let Some(delay) = continue_on_tick(cx, entry) {
+                    rescheduled.push((cx.now + delay, entry.tuple.flow_id()));
                 }
             }
             _ => {}
         }
     }
-    for flow in rescheduled {
-        shard.timers.schedule(cx.now + PROBE_INTERVAL, flow);
+    for (at, flow) in rescheduled {
+        shard.timers.schedule(at, flow);
+    }
+}
+
+/// Continues a lookup without a packet of the caller; returns the delay until the next tick, if
+/// there is one.
+fn continue_on_tick(cx: &mut Context<'_>, entry: &mut FlowEntry) -> Option<Duration> {
+    let FlowState::LookingUp(lookup) = &mut entry.state else {
+        return None;
+    };
+    // A tick is this late after a pause of the process.
+    let was_paused = cx.now.since(lookup.last_round_at) > DENIAL_WINDOW;
+    let awaited_confirmation = std::mem::take(&mut lookup.awaits_confirmation);
+    let delay = if awaits_confirmation(cx, lookup) {
+        if cx.now.since(lookup.requested_at) >= CONFIRMATION_TIMEOUT {
+            record_unanswered(cx, entry);
+            return None;
+        }
+        lookup.last_round_at = cx.now;
+        lookup.awaits_confirmation = true;
+        finish_if_denied(cx, entry);
+        CONFIRMATION_CHECK_INTERVAL
+    } else if (was_paused || awaited_confirmation) && restart_if_old(cx, lookup) {
+        PROBE_INTERVAL
+    } else if cx.now.since(lookup.started_at) < DENIAL_WINDOW {
+        send_probes(cx, lookup);
+        finish_if_denied(cx, entry);
+        PROBE_INTERVAL
+    } else {
+        record_unanswered(cx, entry);
+        return None;
+    };
+    if let FlowState::LookingUp(lookup) = &mut entry.state {
+        lookup.next_tick_at = cx.now + delay;
     }
+    Some(delay)
 }
 
 /// Ends a trial without a returned packet: claims the flow, in `state`.
--- a/crates/plantainquay_core/src/relay/balancer.rs
+++ b/crates/plantainquay_core/src/relay/balancer.rs
@@ -11,7 +11,8 @@
 
 use bytes::Bytes;
 use parking_lot::{Mutex, MutexGuard, RwLock};
-use plantainquay_schema::{FlowId, RelayBody, RelayMessage};
+use plantainquay_schema::{FiveTuple, FlowId, RelayBody, RelayMessage};
+use smallvec::SmallVec;
 
 use self::cache::CacheShard;
 use self::event::Context;
@@ -136,20 +137,27 @@
         cx.actions
     }
 
-    /// Retries unanswered opening packets and expires suspects.
-    pub fn on_tick(&self, now: Timestamp) -> Actions {
+    /// Retries unanswered opening packets, continues searches that wait for a confirmation of the
+    /// view, and expires suspects; `view_age` is called only for such searches.
+    pub fn on_tick(&self, now: Timestamp, view_age: impl Fn() -> Option<Duration>) -> Actions {
         let mut cx = Context::new(self, now);
         self.pause_detector.tick(now);
         self.suspects.lock().expire(now);
         for shard in &self.shards {
             let mut shard = shard.lock();
+            let mut searched: SmallVec<[FiveTuple; 4]> = SmallVec::new();
             while let Some((flow, entry)) = shard.next_expired(now) {
-                if cx.retry_opening(flow, entry) {
+                if entry.search.as_ref().is_some_and(|s| s.is_check_due(now)) {
+                    searched.push(entry.tuple);
+                } else if cx.retry_opening(flow, entry) {
                     shard
                         .timers
                         .schedule(now + self.config.policy.opening_timeout, flow);
                 }
             }
+            for tuple in searched {
+                cx.advance_search(&mut shard, view_age(), tuple);
+            }
         }
         cx.actions
     }
--- a/crates/plantainquay_core/src/relay/balancer/cache.rs
+++ b/crates/plantainquay_core/src/relay/balancer/cache.rs
@@ -14,12 +14,12 @@
 
 /// Idle time after which a flow is removed; its owner can still locate it.
 const CACHE_TTL: Duration = Duration::from_secs(20);
-/// Time for which the first packet of a flow without a route is remembered.
-const UNROUTED_TTL: Duration = Duration::from_secs(5);
+/// Time for which the first packet of an unplaced flow is remembered.
+const UNPLACED_TTL: Duration = Duration::from_secs(5);
 /// Maximum number of packets in a shard whose flows are searched; the caller retransmits others.
 const MAX_HELD_PACKETS: usize = 256;
-/// Maximum number of flows without a route in a shard; packets of others are dropped.
-const MAX_UNROUTED_FLOWS: usize = 1_024;
+/// Maximum number of unplaced flows in a shard; packets of others are dropped.
+const MAX_UNPLACED_FLOWS: usize = 1_024;
 /// Maximum number of flows in a shard, which bounds memory under a flood of opening packets.
 const MAX_FLOWS: usize = 16_384;
 
@@ -29,8 +29,8 @@
     flows: HashMap<FlowId, CacheEntry>,
     /// The last packet of each flow whose service is searched.
     held_packets: HashMap<FlowId, Bytes>,
-    /// First packet of each flow without a route.
-    unrouted: HashMap<FlowId, Timestamp>,
+    /// First packet of each unplaced flow: it has no route, or no service with an agent to ask.
+    unplaced: HashMap<FlowId, Timestamp>,
     /// Retry timers of opening packets.
     pub(super) timers: FlowTimers,
 }
@@ -147,16 +147,20 @@
         self.held_packets.remove(&flow);
     }
 
-    /// Returns the time of the first packet of a flow without a route; `None` if too many are
-    /// known.
-    pub(super) fn first_unrouted_packet_at(
+    /// Returns the time of the first packet of an unplaced flow; `None` if too many are known.
+    pub(super) fn first_unplaced_packet_at(
         &mut self,
         now: Timestamp,
         flow: FlowId,
     ) -> Option<Timestamp> {
-        let is_known = self.unrouted.contains_key(&flow);
-        let has_room = is_known || self.unrouted.len() < MAX_UNROUTED_FLOWS;
-        has_room.then(|| *self.unrouted.entry(flow).or_insert(now))
+        let is_known = self.unplaced.contains_key(&flow);
+        let has_room = is_known || self.unplaced.len() < MAX_UNPLACED_FLOWS;
+        has_room.then(|| *self.unplaced.entry(flow).or_insert(now))
+    }
+
+    /// Returns the time of the first packet of a flow that was unplaced until now.
+    pub(super) fn known_first_packet_at(&self, flow: FlowId) -> Option<Timestamp> {
+        self.unplaced.get(&flow).copied()
     }
 
     /// Returns the next flow with an expired retry timer.
@@ -168,8 +172,8 @@
     pub(super) fn expire(&mut self, now: Timestamp) {
         self.flows
             .retain(|_, entry| now.since(entry.last_packet_at) < CACHE_TTL);
-        self.unrouted
-            .retain(|_, first_packet_at| now.since(*first_packet_at) < UNROUTED_TTL);
+        self.unplaced
+            .retain(|_, first_packet_at| now.since(*first_packet_at) < UNPLACED_TTL);
         let flows = &self.flows;
         self.held_packets
             .retain(|flow, _| flows.get(flow).is_some_and(|e| e.search.is_some()));
--- a/crates/plantainquay_core/src/relay/balancer/event.rs
+++ b/crates/plantainquay_core/src/relay/balancer/event.rs
@@ -11,13 +11,13 @@
 };
 use smallvec::smallvec;
 
-use super::cache::{CacheEntry, PendingOpening};
-use super::search::{MAX_VIEW_AGE, SearchInput, SearchStep, ServiceSearch, is_confirmed_since};
+use super::cache::{CacheEntry, CacheShard, PendingOpening};
+use super::search::{MAX_VIEW_AGE, SearchInput, SearchStep, ServiceSearch};
 use super::{BalancerCounters, RelayBalancer};
 use crate::Timestamp;
 use crate::relay::{
     Action, Actions, Candidate, CandidateState, Decision, DropReason, Packet, RelayView,
-    ResetReason, ServiceCandidates,
+    ResetReason, ServiceCandidates, is_confirmed_since,
 };
 
 /// Time after which a caller without an answer may have retransmitted through another balancer.
@@ -65,7 +65,7 @@
     /// Returns true if the view matched the store after the first packet of an unrouted flow.
     fn is_confirmed_since_first_packet(&self, view_age: Option<Duration>, packet: &Packet) -> bool {
         let mut shard = self.balancer.shard(packet.tuple.flow_id());
-        let first_packet_at = shard.first_unrouted_packet_at(self.now, packet.tuple.flow_id());
+        let first_packet_at = shard.first_unplaced_packet_at(self.now, packet.tuple.flow_id());
         first_packet_at.is_some_and(|at| is_confirmed_since(at, self.now, view_age))
     }
 
@@ -146,7 +146,10 @@
             last_service = Some(service);
             search = entry.search.take().filter(|s| !s.is_over(self.now));
         }
-        let mut search = search.unwrap_or_else(|| Box::new(ServiceSearch::new(self.now)));
+        let mut search = search.unwrap_or_else(|| {
+            let first_packet_at = shard.known_first_packet_at(flow).unwrap_or(self.now);
+            Box::new(ServiceSearch::new(first_packet_at))
+        });
         search.on_packet(self.now);
         let step = self.next_step(&mut search, view_age(), route, flow, last_service);
         if let SearchStep::Ask(service, owner) = step {
@@ -160,11 +163,21 @@
         }
         if let Some(entry) = shard.get_mut(flow, &packet.tuple) {
             entry.search = Some(search);
-        }
-        if step == SearchStep::NotHeld {
-            self.reset(packet.tuple, packet.ack, ResetReason::UnknownFlow);
+            shard.hold_packet(flow, bytes);
         } else {
-            self.drop_undetermined();
+            // No service has an agent to ask; the next packet continues the search.
+            shard.first_unplaced_packet_at(self.now, flow);
+        }
+        match step {
+            SearchStep::NotHeld => {
+                shard.release_packet(flow);
+                self.reset(packet.tuple, packet.ack, ResetReason::UnknownFlow);
+            }
+            SearchStep::AwaitConfirmation => {
+                self.await_confirmation(&mut shard, packet.tuple);
+                self.drop_undetermined();
+            }
+            _ => self.drop_undetermined(),
         }
     }
 
@@ -216,9 +229,6 @@
             .service(service)
             .map_or_else(StoreRevision::default, ServiceCandidates::revision);
         let revision = lost.upstreams_revision.unwrap_or(own_revision);
-        let Some(route) = view.route(tuple.destination) else {
-            return;
-        };
         let mut shard = self.balancer.shard(flow);
         let entry = shard.get_mut(flow, &tuple);
         let Some(entry) = entry.filter(|entry| entry.service == service) else {
@@ -235,8 +245,28 @@
         if revision < own_revision || self.balancer.pause_detector.was_paused(self.now) {
             return self.actions.push(Action::Drop(DropReason::UnknownFlow));
         }
-        search.on_denied(self.now, service, revision);
-        let step = self.next_step(search, view_age(), route, flow, None);
+        search.on_denied(self.now, service, revision, lost.is_complete);
+        self.advance_search(&mut shard, view_age(), tuple);
+    }
+
+    /// Takes the next step of a search without a packet of the caller.
+    pub(super) fn advance_search(
+        &mut self,
+        shard: &mut CacheShard,
+        view_age: Option<Duration>,
+        tuple: FiveTuple,
+    ) {
+        let flow = tuple.flow_id();
+        let view = Arc::clone(&self.view);
+        let (Some(route), Some(entry)) =
+            (view.route(tuple.destination), shard.get_mut(flow, &tuple))
+        else {
+            return;
+        };
+        let Some(search) = &mut entry.search else {
+            return;
+        };
+        let step = self.next_step(search, view_age, route, flow, None);
         let denials = search.denial_count();
         match step {
             SearchStep::Ask(service, owner) => {
@@ -250,6 +280,7 @@
                 }
             }
             SearchStep::AwaitPacket => {}
+            SearchStep::AwaitConfirmation => self.await_confirmation(shard, tuple),
             SearchStep::Undetermined => self.drop_undetermined(),
             SearchStep::NotHeld => {
                 let ack = entry.caller_ack;
@@ -259,6 +290,16 @@
         }
     }
 
+    /// Asks for a confirmation of the view, and schedules a check whether there was one.
+    fn await_confirmation(&mut self, shard: &mut CacheShard, tuple: FiveTuple) {
+        let flow = tuple.flow_id();
+        self.actions.push(Action::ConfirmView);
+        let search = shard.get_mut(flow, &tuple).and_then(|e| e.search.as_mut());
+        if let Some(check_at) = search.and_then(|search| search.schedule_check(self.now)) {
+            shard.timers.schedule(check_at, flow);
+        }
+    }
+
     fn next_step(
         &self,
         search: &mut ServiceSearch,
--- a/crates/plantainquay_core/src/relay/balancer/search.rs
+++ b/crates/plantainquay_core/src/relay/balancer/search.rs
@@ -4,7 +4,8 @@
 //! the flow in its cache asks the owner in one service after another: first in those that the route
 //! names, then in those that it named before. A balancer that may not know all of the latter, since
 //! it or its sources started after a change, asks the remaining services too if they are few. The
-//! flow is reset only when no service is left that could hold it.
+//! flow is reset only when no service is left that could hold it, and the lists on which that rests
+//! were confirmed after the search began: an earlier list may lack the upstream that holds the flow.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,7 +14,7 @@
 use smallvec::SmallVec;
 
 use crate::Timestamp;
-use crate::relay::{RelayView, ServiceCandidates};
+use crate::relay::{RelayView, ServiceCandidates, is_confirmed_since};
 
 /// Maximum number of services that are asked for one packet; the search continues with the caller's
 /// next packet.
@@ -30,13 +31,15 @@
 const DENIAL_TTL: Duration = Duration::from_secs(1);
 /// Time after which a search that hasn't found the flow starts over.
 const SEARCH_TTL: Duration = Duration::from_secs(5);
-/// Age of the view above which upstreams may exist that it doesn't list.
+/// Interval at which a search checks whether the view was confirmed.
+const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Age of the view above which routes may exist that it doesn't have.
 pub(super) const MAX_VIEW_AGE: Duration = Duration::from_secs(4);
 
 /// Services that were asked about a flow.
 #[derive(Debug)]
 pub(super) struct ServiceSearch {
-    /// Time of the first packet.
+    /// Time of the first packet; the upstream that holds the flow was listed before.
     started_at: Timestamp,
     /// Services all of whose upstreams have denied the flow.
     denials: SmallVec<[Denial; 2]>,
@@ -48,6 +51,8 @@
     silent: SmallVec<[SocketAddr; 2]>,
     /// True if the search continues with the caller's next packet.
     awaits_packet: bool,
+    /// Time of the next check whether the view was confirmed, if the search waits for that.
+    next_check_at: Option<Timestamp>,
     /// Time at which the search ended because no upstream holds the flow.
     ended_at: Option<Timestamp>,
 }
@@ -59,6 +64,8 @@
     received_at: Timestamp,
     /// Highest store revision of these upstreams; a later one may hold the flow.
     upstreams_revision: StoreRevision,
+    /// See [`LostFlow::is_complete`].
+    is_complete: bool,
 }
 
 /// Next step of a search.
@@ -68,7 +75,10 @@
     Ask(ServiceId, SocketAddr),
     /// Wait for the caller's next packet.
     AwaitPacket,
-    /// Wait as well, since the flow may be at a service that this process doesn't know or ask.
+    /// Wait until the view is confirmed: it may lack the upstream that holds the flow.
+    AwaitConfirmation,
+    /// Wait for the caller's next packet, since the flow may be at a service that this process
+    /// doesn't know or ask, or at an upstream that an agent doesn't know.
     Undetermined,
     /// Reset the flow: no upstream holds it.
     NotHeld,
@@ -88,14 +98,16 @@
 }
 
 impl ServiceSearch {
-    pub(super) fn new(now: Timestamp) -> Self {
+    /// Creates a search for a flow whose first packet arrived at `started_at`.
+    pub(super) fn new(started_at: Timestamp) -> Self {
         Self {
-            started_at: now,
+            started_at,
             denials: SmallVec::new(),
             asked: 0,
             unanswered: None,
             silent: SmallVec::new(),
             awaits_packet: false,
+            next_check_at: None,
             ended_at: None,
         }
     }
@@ -121,21 +133,38 @@
         asked_at.is_some_and(|asked_at| now.since(asked_at) >= ANSWER_TIMEOUT)
     }
 
-    /// Records that no upstream of a service holds the flow.
+    /// Records that no known upstream of a service holds the flow.
     pub(super) fn on_denied(
         &mut self,
         now: Timestamp,
         service: ServiceId,
         upstreams_revision: StoreRevision,
+        is_complete: bool,
     ) {
         self.denials.retain(|denial| denial.service != service);
         self.denials.push(Denial {
             service,
             received_at: now,
             upstreams_revision,
+            is_complete,
         });
     }
 
+    /// Returns the time of the next check whether the view was confirmed, unless one is scheduled.
+    pub(super) fn schedule_check(&mut self, now: Timestamp) -> Option<Timestamp> {
+        if self.next_check_at.is_some_and(|at| at > now) {
+            return None;
+        }
+        let next = now + CONFIRMATION_CHECK_INTERVAL;
+        self.next_check_at = Some(next);
+        Some(next)
+    }
+
+    /// Returns true if the search waits for the confirmation of the view and checks for it now.
+    pub(super) fn is_check_due(&self, now: Timestamp) -> bool {
+        self.next_check_at.is_some_and(|at| at <= now) && !self.is_over(now)
+    }
+
     /// Returns true if the search continues with the caller's next packet.
     pub(super) fn awaits_packet(&self, now: Timestamp) -> bool {
         self.awaits_packet || self.is_unanswered(now)
@@ -165,13 +194,16 @@
     /// Determines the next step and records it.
     pub(super) fn next_step(&mut self, input: &SearchInput<'_>) -> SearchStep {
         self.denials.retain(|denial| denial.is_valid(input));
+        self.next_check_at = self.next_check_at.filter(|at| *at > input.now);
         let step = self.choose_step(input);
         match step {
             SearchStep::Ask(_, agent) => {
                 self.asked += 1;
                 self.unanswered = Some((input.now, agent));
             }
-            SearchStep::AwaitPacket | SearchStep::Undetermined => self.awaits_packet = true,
+            SearchStep::AwaitPacket | SearchStep::AwaitConfirmation | SearchStep::Undetermined => {
+                self.awaits_packet = true;
+            }
             SearchStep::NotHeld => self.ended_at = Some(input.now),
         }
         step
@@ -200,15 +232,19 @@
                 return step;
             }
         }
-        let is_recent = input.view_age.is_some_and(|age| age <= MAX_VIEW_AGE);
         // The services that an agent with a later list knows may hold the flow.
         let is_behind = self
             .denials
             .iter()
             .any(|denial| denial.is_ahead_of(input.view));
-        if input.view.is_complete() && is_recent && !is_behind {
+        if !input.view.is_complete() || is_behind {
+            SearchStep::Undetermined
+        } else if !is_confirmed {
+            SearchStep::AwaitConfirmation
+        } else if self.denials.iter().all(|denial| denial.is_complete) {
             SearchStep::NotHeld
         } else {
+            // The agent that denied the flow reports again once its own list is confirmed.
             SearchStep::Undetermined
         }
     }
@@ -253,12 +289,3 @@
         is_recent && candidates.is_none_or(|c| c.revision() <= self.upstreams_revision)
     }
 }
-
-/// Returns true if a view of this age matched the store at `time` or later.
-pub(super) fn is_confirmed_since(
-    time: Timestamp,
-    now: Timestamp,
-    view_age: Option<Duration>,
-) -> bool {
-    view_age.is_some_and(|age| age <= now.since(time))
-}
--- a/crates/plantainquay_core/src/relay/decision.rs
+++ b/crates/plantainquay_core/src/relay/decision.rs
@@ -63,6 +63,10 @@
     /// Every upstream denied the flow (microseconds since the first probe).
     #[error("lookup_lost")]
     LookupLost,
+    /// Every known upstream denied the flow, but the list of upstreams wasn't confirmed since the
+    /// flow's first packet (agents that denied it).
+    #[error("lookup_unconfirmed")]
+    LookupUnconfirmed,
     /// A lookup ended without a result, since the named agent and maybe others didn't answer
     /// (agents that didn't answer).
     #[error("lookup_unanswered")]
--- a/crates/plantainquay_core/src/relay/view.rs
+++ b/crates/plantainquay_core/src/relay/view.rs
@@ -4,6 +4,7 @@
 use std::collections::hash_map::Entry;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
 
 use plantainquay_schema::{
     FiveTuple, FlowId, Generation, Name, Route, ServiceId, StoreRevision, UpstreamEntry,
@@ -194,6 +195,15 @@
     }
 }
 
+/// Returns true if a view of this age matched the store at `time` or later.
+pub(super) fn is_confirmed_since(
+    time: Timestamp,
+    now: Timestamp,
+    view_age: Option<Duration>,
+) -> bool {
+    view_age.is_some_and(|age| age <= now.since(time))
+}
+
 fn service_score(service: &WeightedService, flow: FlowId) -> u64 {
     let hash = splitmix64(flow.0 ^ splitmix64(service.id.0 ^ SERVICE_SEED));
     weighted_score(hash, service.weight)
--- a/crates/plantainquay_core/tests/relay/claims.rs
+++ b/crates/plantainquay_core/tests/relay/claims.rs
@@ -13,7 +13,9 @@
 };
 use rstest::rstest;
 
-use crate::support::{PEER_PORT, agent, established, message, packet, process, route, upstream};
+use crate::support::{
+    PEER_PORT, agent, established, just_confirmed, message, packet, process, route, upstream,
+};
 
 /// Agent whose upstream has sent packets of the flow.
 const HOLDER: u8 = 2;
@@ -60,8 +62,14 @@
     let probe = EstablishedPacket::new(Bytes::from_static(b"data"), process(9));
     let probe = message(RelayBody::Probe(probe));
     let data = packet(tuple(), 10);
-    agent.on_message(Timestamp(0), process(HOLDER), probe, Some(&data));
-    agent.on_tick(AFTER_TRIAL)
+    agent.on_message(
+        Timestamp(0),
+        &just_confirmed,
+        process(HOLDER),
+        probe,
+        Some(&data),
+    );
+    agent.on_tick(AFTER_TRIAL, &just_confirmed)
 }
 
 fn resets(actions: &Actions) -> usize {
@@ -94,7 +102,8 @@
     }
     if has_sent_packets {
         let bytes = Bytes::from_static(b"answer");
-        let actions = agent.on_upstream_packet(AFTER_TRIAL, &packet(tuple(), 10), bytes);
+        let actions =
+            agent.on_upstream_packet(AFTER_TRIAL, &just_confirmed, &packet(tuple(), 10), bytes);
         let known = claim(HOLDER).1;
         for receiver in [process(9), process(HOLDER)] {
             assert!(actions.contains(&Action::Send(receiver, message(known.clone()))));
@@ -128,15 +137,32 @@
         best: None,
         chosen: true,
     });
-    agent.on_message(now, process(9), message(body), Some(&opening));
+    agent.on_message(
+        now,
+        &just_confirmed,
+        process(9),
+        message(body),
+        Some(&opening),
+    );
     let answer = Packet {
         syn: true,
         ..packet(tuple(), 0)
     };
-    agent.on_upstream_packet(now, &answer, Bytes::from_static(b"syn-ack"));
+    agent.on_upstream_packet(
+        now,
+        &just_confirmed,
+        &answer,
+        Bytes::from_static(b"syn-ack"),
+    );
     if caller_answers {
         let data = packet(tuple(), 10);
-        agent.on_message(now, process(9), established(b"data"), Some(&data));
+        agent.on_message(
+            now,
+            &just_confirmed,
+            process(9),
+            established(b"data"),
+            Some(&data),
+        );
     }
     assert_eq!(resets(&agent.upstream_ended()), expected_resets);
 }
@@ -152,10 +178,16 @@
     let now = Timestamp::from_millis(1);
     for number in order {
         let (from, body) = claim(number);
-        agent.on_message(now, from, message(body), None);
+        agent.on_message(now, &just_confirmed, from, message(body), None);
     }
     let data = packet(tuple(), 10);
-    let actions = agent.on_message(now, process(9), established(b"data"), Some(&data));
+    let actions = agent.on_message(
+        now,
+        &just_confirmed,
+        process(9),
+        established(b"data"),
+        Some(&data),
+    );
     assert_eq!(receivers_of_packet(&actions), [process(HOLDER)]);
 }
 
@@ -167,10 +199,16 @@
     probe_silent_upstream(&agent);
     assert_eq!(agent.meter().open_flows(), 1);
     let (from, body) = claim(HOLDER);
-    agent.on_message(AFTER_TRIAL, from, message(body), None);
+    agent.on_message(AFTER_TRIAL, &just_confirmed, from, message(body), None);
     assert_eq!(agent.meter().open_flows(), 0);
     let data = packet(tuple(), 10);
-    let actions = agent.on_message(AFTER_TRIAL, process(9), established(b"data"), Some(&data));
+    let actions = agent.on_message(
+        AFTER_TRIAL,
+        &just_confirmed,
+        process(9),
+        established(b"data"),
+        Some(&data),
+    );
     assert_eq!(receivers_of_packet(&actions), [process(HOLDER)]);
 }
 
@@ -187,12 +225,18 @@
     });
     balancer.install(view());
     let now = Timestamp::from_millis(1);
-    let age = || Some(Duration::ZERO);
-    let send = || balancer.on_packet(now, age, &packet(tuple(), 10), Bytes::from_static(b"data"));
+    let send = || {
+        balancer.on_packet(
+            now,
+            just_confirmed,
+            &packet(tuple(), 10),
+            Bytes::from_static(b"data"),
+        )
+    };
     send();
     for number in order {
         let (from, body) = claim(number);
-        balancer.on_message(now, age, from, &message(body));
+        balancer.on_message(now, just_confirmed, from, &message(body));
     }
     assert_eq!(receivers_of_packet(&send()), [process(HOLDER)]);
 }
--- a/crates/plantainquay_core/tests/relay/lookup.rs
+++ b/crates/plantainquay_core/tests/relay/lookup.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use crate::support::{
-    PEER_PORT, agent, established, message, packet, process, store_revision, upstream,
+    PEER_PORT, agent, established, just_confirmed, message, packet, process, store_revision,
+    upstream,
 };
 use bytes::Bytes;
 use plantainquay_core::relay::{Action, Actions, Packet, RelayAgent, RelayView};
@@ -46,6 +47,25 @@
     Arc::new(view)
 }
 
+/// A view with a third agent, which registered after the first two.
+fn view_with_new_agent() -> Arc<RelayView> {
+    let mut fleet = Fleet::default();
+    let changes = Changes {
+        age: Some(Duration::ZERO),
+        upstreams: vec![upstream(1), upstream(2), upstream(3)],
+        ..Changes::default()
+    };
+    fleet.apply(Timestamp(0), changes);
+    let view = RelayView::build(&fleet, Timestamp(0), PEER_PORT, &RelayView::default());
+    Arc::new(view)
+}
+
+/// Number of agents that were probed.
+fn probed(actions: &Actions) -> usize {
+    let is_probe = |action: &&Action| matches!(action, Action::Send(_, message) if matches!(message.body, RelayBody::Probe(_)));
+    actions.iter().filter(is_probe).count()
+}
+
 fn tuple(caller: &str) -> FiveTuple {
     FiveTuple::tcp(caller, "192.0.2.1:80").expect("two addresses")
 }
@@ -53,17 +73,24 @@
 /// Sends a packet of a flow to the agent, whose upstream returns it.
 fn start_lookup(agent: &RelayAgent, now: Timestamp, tuple: FiveTuple) -> Actions {
     let data = packet(tuple, 10);
-    agent.on_message(now, process(9), established(b"data"), Some(&data));
+    agent.on_message(
+        now,
+        &just_confirmed,
+        process(9),
+        established(b"data"),
+        Some(&data),
+    );
     let returned = Packet {
         returned: true,
         ..data
     };
-    agent.on_upstream_packet(now, &returned, Bytes::from_static(b"data"))
+    agent.on_upstream_packet(now, &just_confirmed, &returned, Bytes::from_static(b"data"))
 }
 
 fn is_lost(actions: &Actions) -> bool {
     actions.iter().any(|action| {
-        matches!(action, Action::Send(_, message) if matches!(message.body, RelayBody::Lost(_)))
+        matches!(action, Action::Send(_, message)
+            if matches!(message.body, RelayBody::Lost(lost) if lost.is_complete))
     })
 }
 
@@ -81,7 +108,7 @@
     let now = Timestamp::from_millis(10);
     assert!(!is_lost(&start_lookup(&agent, now, tuple)));
     let denial = message(RelayBody::NotHeld(tuple));
-    let actions = agent.on_message(now, process(2), denial, None);
+    let actions = agent.on_message(now, &just_confirmed, process(2), denial, None);
     assert_eq!(is_lost(&actions), is_expected_lost);
 }
 
@@ -96,7 +123,7 @@
     agent.install(view_with_former_agent());
     let tuple = tuple("198.51.100.1:40000");
     assert!(!is_lost(&start_lookup(&agent, now, tuple)));
-    let actions = agent.on_tick(now + Duration::from_millis(tick_ms));
+    let actions = agent.on_tick(now + Duration::from_millis(tick_ms), &just_confirmed);
     assert_eq!(is_lost(&actions), is_expected_lost);
 }
 
@@ -110,10 +137,21 @@
     agent.install(view(Some(Duration::ZERO)));
     let tuple = tuple("198.51.100.1:40000");
     let now = Timestamp::from_millis(10);
-    agent.on_upstream_packet(now, &packet(tuple, 10), Bytes::from_static(b"answer"));
+    agent.on_upstream_packet(
+        now,
+        &just_confirmed,
+        &packet(tuple, 10),
+        Bytes::from_static(b"answer"),
+    );
     let body = EstablishedPacket::new(Bytes::from_static(b"data"), process(9));
     let body = RelayBody::Established(body.with_wants_answer(wants_answer));
-    let actions = agent.on_message(now, process(9), message(body), Some(&packet(tuple, 10)));
+    let actions = agent.on_message(
+        now,
+        &just_confirmed,
+        process(9),
+        message(body),
+        Some(&packet(tuple, 10)),
+    );
     let claim = Claim {
         tuple,
         evidence: Evidence::SentPackets,
@@ -135,24 +173,76 @@
     let denial = message(RelayBody::NotHeld(tuple));
     let start = Timestamp::from_millis(10);
     start_lookup(&agent, start, tuple);
-    agent.on_message(start, process(2), denial.clone(), None);
+    agent.on_message(start, &just_confirmed, process(2), denial.clone(), None);
     let mut was_lost = false;
     for ms in (20..confirmed_ms).step_by(20) {
-        was_lost |= is_lost(&agent.on_tick(Timestamp::from_millis(ms)));
+        was_lost |= is_lost(&agent.on_tick(Timestamp::from_millis(ms), &just_confirmed));
     }
     assert!(!was_lost);
     agent.install(view(Some(Duration::ZERO)));
     let now = Timestamp::from_millis(confirmed_ms + 100);
     if needs_packet {
-        assert!(!is_lost(&agent.on_tick(now)));
+        assert!(!is_lost(&agent.on_tick(now, &just_confirmed)));
         let data = packet(tuple, 10);
-        agent.on_message(now, process(9), established(b"data"), Some(&data));
-        assert!(is_lost(&agent.on_message(now, process(2), denial, None)));
+        agent.on_message(
+            now,
+            &just_confirmed,
+            process(9),
+            established(b"data"),
+            Some(&data),
+        );
+        assert!(is_lost(&agent.on_message(
+            now,
+            &just_confirmed,
+            process(2),
+            denial,
+            None
+        )));
     } else {
-        assert!(is_lost(&agent.on_tick(now)));
+        assert!(is_lost(&agent.on_tick(now, &just_confirmed)));
     }
 }
 
+/// Guards against resets of flows at upstreams that registered after the agent's list was confirmed:
+/// the lookup waits for a newer list, and asks the upstreams that it brings.
+#[rstest]
+#[case::no_other_upstream(false)]
+#[case::upstream_that_registered_since(true)]
+fn flow_is_lost_only_by_a_list_from_after_its_first_packet(#[case] has_registered: bool) {
+    let agent = agent();
+    agent.install(view(Some(Duration::ZERO)));
+    let tuple = tuple("198.51.100.1:40000");
+    let denial = message(RelayBody::NotHeld(tuple));
+    let at = Timestamp::from_millis;
+    let confirmed_at_zero = |now: Timestamp| move || Some(now.since(Timestamp(0)));
+    start_lookup(&agent, at(1_000), tuple);
+    let now = at(1_010);
+    let actions = agent.on_message(now, &confirmed_at_zero(now), process(2), denial, None);
+    assert!(!is_lost(&actions) && actions.contains(&Action::ConfirmView));
+    // The balancer learns that the known upstreams have denied the flow.
+    let is_report = |action: &Action| {
+        matches!(action, Action::Send(to, message)
+            if *to == process(9) && matches!(message.body, RelayBody::Lost(_)))
+    };
+    assert!(actions.iter().any(is_report));
+    for ms in (1_020..3_000).step_by(20) {
+        let actions = agent.on_tick(at(ms), &confirmed_at_zero(at(ms)));
+        assert!(!is_lost(&actions));
+        // Packets at the wrong upstream count against the flow.
+        assert_eq!(probed(&actions), 0, "at {ms} ms");
+    }
+    if has_registered {
+        agent.install(view_with_new_agent());
+    }
+    let actions = agent.on_tick(at(3_000), &just_confirmed);
+    assert!(!is_lost(&actions));
+    // The denials are old: everyone is asked again.
+    assert_eq!(probed(&actions), if has_registered { 2 } else { 1 });
+    let denial = message(RelayBody::NotHeld(tuple));
+    let actions = agent.on_message(at(3_010), &just_confirmed, process(2), denial, None);
+    assert_eq!(is_lost(&actions), !has_registered);
+}
+
 /// A lookup waits longer for an agent that has left the list until that agent was silent once.
 #[rstest]
 #[case::silent(false, true)]
@@ -164,13 +254,21 @@
         start_lookup(&agent, Timestamp::from_millis(at_ms), tuple(caller))
     };
     assert!(!is_lost(&ask(3_000, "198.51.100.1:40000")));
-    assert!(is_lost(&agent.on_tick(Timestamp::from_millis(3_400))));
+    assert!(is_lost(
+        &agent.on_tick(Timestamp::from_millis(3_400), &just_confirmed)
+    ));
     if answers {
         let tuple = tuple("198.51.100.1:40000");
         let denial = message(RelayBody::NotHeld(tuple));
-        agent.on_message(Timestamp::from_millis(3_500), process(2), denial, None);
+        agent.on_message(
+            Timestamp::from_millis(3_500),
+            &just_confirmed,
+            process(2),
+            denial,
+            None,
+        );
     }
     assert!(!is_lost(&ask(3_600, "198.51.100.1:40001")));
-    let actions = agent.on_tick(Timestamp::from_millis(3_680));
+    let actions = agent.on_tick(Timestamp::from_millis(3_680), &just_confirmed);
     assert_eq!(is_lost(&actions), is_lost_soon);
 }
--- a/crates/plantainquay_core/tests/relay/opening.rs
+++ b/crates/plantainquay_core/tests/relay/opening.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::support::{LISTENER_IP, PEER_PORT, message, process, route, upstream};
+use crate::support::{LISTENER_IP, PEER_PORT, just_confirmed, message, process, route, upstream};
 use bytes::Bytes;
 use plantainquay_core::relay::{
     Action, Actions, Packet, RelayBalancer, RelayBalancerConfig, RelayPolicy, RelayView,
@@ -81,7 +81,7 @@
     let mut sent: BTreeMap<u16, Vec<SocketAddr>> = BTreeMap::new();
     for at_ms in (0..1_000).step_by(usize::try_from(TICK_MS).expect("a small number")) {
         let caller = u16::try_from(1_024 + at_ms).expect("a port");
-        let mut actions = balancer.on_tick(Timestamp::from_millis(at_ms));
+        let mut actions = balancer.on_tick(Timestamp::from_millis(at_ms), just_confirmed);
         actions.extend(open(&balancer, at_ms, caller));
         for (port, agent) in openings(&actions) {
             sent.entry(port).or_default().push(agent);
@@ -151,10 +151,10 @@
     #[case] is_expected_reset: bool,
 ) {
     let balancer = balancer(1);
-    balancer.on_tick(Timestamp(0));
+    balancer.on_tick(Timestamp(0), just_confirmed);
     let sent = openings(&open(&balancer, 0, 5_000));
     for at_ms in (TICK_MS..=after_ms).step_by(usize::try_from(TICK_MS).expect("a small number")) {
-        balancer.on_tick(Timestamp::from_millis(at_ms));
+        balancer.on_tick(Timestamp::from_millis(at_ms), just_confirmed);
     }
     let refused = message(RelayBody::Refused(tuple(5_000)));
     let now = Timestamp::from_millis(after_ms);
--- a/crates/plantainquay_core/tests/relay/pacing.rs
+++ b/crates/plantainquay_core/tests/relay/pacing.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
-use crate::support::{PEER_PORT, established, process, route, upstream};
+use crate::support::{PEER_PORT, established, just_confirmed, process, route, upstream};
 use bytes::Bytes;
 use plantainquay_core::relay::{Action, Actions, Packet, RelayAgent, RelayView};
 use plantainquay_core::{FiveTuple, Fleet, Timestamp};
@@ -42,12 +42,18 @@
 
 fn send(agent: &RelayAgent, at_ms: u64, packet: &Packet, text: &str) -> Actions {
     let now = Timestamp::from_millis(at_ms);
-    agent.on_message(now, process(9), established(text.as_bytes()), Some(packet))
+    agent.on_message(
+        now,
+        &just_confirmed,
+        process(9),
+        established(text.as_bytes()),
+        Some(packet),
+    )
 }
 
 fn answer(agent: &RelayAgent, at_ms: u64, packet: &Packet) -> Actions {
     let now = Timestamp::from_millis(at_ms);
-    agent.on_upstream_packet(now, packet, Bytes::from_static(b"answer"))
+    agent.on_upstream_packet(now, &just_confirmed, packet, Bytes::from_static(b"answer"))
 }
 
 /// Appends the packets sent to the upstream, with the time in milliseconds.
--- a/crates/plantainquay_core/tests/relay/search.rs
+++ b/crates/plantainquay_core/tests/relay/search.rs
@@ -143,7 +143,8 @@
     /// Runs the balancer's ticks, by which it knows that it wasn't paused.
     fn tick_until(&self, at_ms: u64) {
         for ms in (self.last_tick_ms.get()..=at_ms).step_by(TICK_MS) {
-            self.balancer.on_tick(Timestamp::from_millis(ms));
+            let now = Timestamp::from_millis(ms);
+            self.balancer.on_tick(now, || self.fleet.age(now));
             self.last_tick_ms.set(ms);
         }
     }
@@ -232,6 +233,7 @@
     RelayBody::Lost(LostFlow {
         tuple: tuple(caller),
         upstreams_revision: Some(upstreams_revision),
+        is_complete: true,
     })
 }
 
@@ -303,6 +305,7 @@
 ) {
     let mut site = Site::new(&names(services));
     site.publish(0, &["s0"]);
+    site.confirm(100);
     assert_eq!(site.send_unknown(100, 1), expected);
     // Silence costs no further questions.
     let (questions, _) = site.send_unknown(300, 1);
@@ -356,6 +359,57 @@
     assert_eq!(site.send_unknown(800, 1), (0, true));
 }
 
+/// Guards against resets by a balancer whose source lags: the store lists the upstream that holds the
+/// flow, but the balancer's view is from before.
+#[rstest]
+#[case::no_other_upstream(false)]
+#[case::upstream_that_registered_since(true)]
+fn flow_is_reset_only_by_a_view_from_after_its_first_packet(#[case] has_registered: bool) {
+    let mut site = Site::with_whole_history(&names(1));
+    site.publish(0, &["s0"]);
+    let (owner, service) = asked(&site.send(2_000, 1)).expect("the owner is asked");
+    let denied = site.answer(2_010, owner, service, lost(1, 1));
+    assert!(!is_reset(&denied) && denied.contains(&Action::ConfirmView));
+    if has_registered {
+        site.list_upstream(2_100, 9, "s0", 2);
+    } else {
+        site.confirm(2_100);
+    }
+    let actions = site.balancer.on_tick(Timestamp::from_millis(2_110), || {
+        site.fleet.age(Timestamp::from_millis(2_110))
+    });
+    assert_eq!(is_reset(&actions), !has_registered);
+    assert_eq!(asked(&actions).is_some(), has_registered);
+}
+
+/// Guards against resets that rest on the report of an agent whose own source lags.
+#[rstest]
+fn report_from_an_unconfirmed_list_is_no_proof() {
+    let mut site = Site::with_whole_history(&names(1));
+    site.publish(0, &["s0"]);
+    site.confirm(2_000);
+    let (owner, service) = asked(&site.send(2_000, 1)).expect("the owner is asked");
+    let incomplete = RelayBody::Lost(LostFlow {
+        tuple: tuple(1),
+        upstreams_revision: Some(store_revision(1)),
+        is_complete: false,
+    });
+    assert!(!is_reset(&site.answer(2_010, owner, service, incomplete)));
+    // A retransmission asks nobody again while the agent waits for its list.
+    assert_eq!(asked(&site.send(2_200, 1)), None);
+    assert!(is_reset(&site.answer(2_210, owner, service, lost(1, 1))));
+}
+
+/// A flow whose route leads to no upstream is reset once that is confirmed.
+#[rstest]
+fn flow_without_any_upstream_to_ask_is_reset_once_confirmed() {
+    let mut site = Site::with_whole_history(&names(0));
+    site.publish(0, &["unborn"]);
+    assert!(!is_reset(&site.send(2_000, 1)));
+    site.confirm(2_100);
+    assert!(is_reset(&site.send(2_200, 1)));
+}
+
 /// An agent that doesn't answer is passed over at the caller's next packet: first for another
 /// service, then for another agent of its own.
 #[rstest]
--- a/crates/plantainquay_core/tests/relay/support.rs
+++ b/crates/plantainquay_core/tests/relay/support.rs
@@ -76,6 +76,15 @@
     }
 }
 
+/// The age of a view that the store has just confirmed.
+#[expect(
+    clippy::unnecessary_wraps,
+    reason = "has the type of the age that decisions ask for"
+)]
+pub fn just_confirmed() -> Option<Duration> {
+    Some(Duration::ZERO)
+}
+
 /// A packet as forwarded by the balancer with number 9.
 pub fn established(bytes: &[u8]) -> RelayMessage {
     message(RelayBody::Established(EstablishedPacket {
--- a/crates/plantainquay_net/src/relay.rs
+++ b/crates/plantainquay_net/src/relay.rs
@@ -5,6 +5,7 @@
 
 mod agent;
 mod balancer;
+mod confirm;
 mod fetch;
 mod fleet_state;
 mod follow;
@@ -16,7 +17,8 @@
 
 pub use agent::AgentThreads;
 pub use balancer::BalancerThreads;
-pub use fetch::fetch_changes;
+pub use confirm::confirm_on_request;
+pub use fetch::{Poll, fetch_changes};
 pub use fleet_state::FleetState;
 pub use follow::follow;
 pub use format::PacketFormat;
--- a/crates/plantainquay_net/src/relay/agent.rs
+++ b/crates/plantainquay_net/src/relay/agent.rs
@@ -8,7 +8,7 @@
 use plantainquay_schema::{RelayAgentSettings, RelaySettings};
 
 use super::sockets::{SHARDS_PER_THREAD, receive_datagrams, spawn};
-use super::{PacketFormat, RelaySockets, RelayStartError};
+use super::{FleetState, PacketFormat, RelaySockets, RelayStartError};
 use crate::Clock;
 
 /// A running relay agent.
@@ -30,6 +30,7 @@
         settings: &RelaySettings,
         agent: &RelayAgentSettings,
         format: PacketFormat,
+        fleet: Arc<FleetState>,
         clock: Clock,
     ) -> Result<Arc<Self>, RelayStartError> {
         let sockets = RelaySockets::bind(
@@ -38,6 +39,7 @@
             Some(agent.upstream),
             format,
             clock,
+            fleet,
         )?;
         let config = RelayAgentConfig {
             service: agent.service_id,
@@ -64,7 +66,11 @@
         spawn("ticks", move || {
             let now = || this.sockets.clock.now();
             let expire = || this.agent.expire(now());
-            this.sockets.tick(|| this.agent.on_tick(now()), expire);
+            let on_tick = || {
+                let now = now();
+                this.agent.on_tick(now, &|| this.sockets.fleet.age(now))
+            };
+            this.sockets.tick(on_tick, expire);
         })?;
         Ok(())
     }
@@ -72,7 +78,8 @@
     fn receive_messages(&self) {
         self.sockets.receive_messages(|from, message, packet| {
             let now = self.sockets.clock.now();
-            self.agent.on_message(now, from, message, packet)
+            let view_age = || self.sockets.fleet.age(now);
+            self.agent.on_message(now, &view_age, from, message, packet)
         });
     }
 
@@ -90,7 +97,10 @@
                 Bytes::copy_from_slice(bytes)
             };
             let now = self.sockets.clock.now();
-            let actions = self.agent.on_upstream_packet(now, &packet, bytes);
+            let view_age = || self.sockets.fleet.age(now);
+            let actions = self
+                .agent
+                .on_upstream_packet(now, &view_age, &packet, bytes);
             self.sockets.execute_actions(actions);
         });
     }
--- a/crates/plantainquay_net/src/relay/balancer.rs
+++ b/crates/plantainquay_net/src/relay/balancer.rs
@@ -19,7 +19,6 @@
     pub balancer: RelayBalancer,
     /// The sockets.
     pub sockets: RelaySockets,
-    fleet: Arc<FleetState>,
     last_packet: AtomicU64,
 }
 
@@ -35,7 +34,7 @@
         fleet: Arc<FleetState>,
         clock: Clock,
     ) -> Result<Arc<Self>, RelayStartError> {
-        let sockets = RelaySockets::bind(settings, settings.packets, None, format, clock)?;
+        let sockets = RelaySockets::bind(settings, settings.packets, None, format, clock, fleet)?;
         let config = RelayBalancerConfig {
             own_address: settings.own_address,
             shards: SHARDS_PER_THREAD * settings.threads,
@@ -44,7 +43,6 @@
         let threads = Arc::new(Self {
             balancer: RelayBalancer::new(config),
             sockets,
-            fleet,
             last_packet: AtomicU64::new(0),
         });
         threads.spawn_all(settings.threads)?;
@@ -66,7 +64,7 @@
         spawn("messages", move || {
             this.sockets.receive_messages(|from, message, _| {
                 let now = this.sockets.clock.now();
-                let view_age = || this.fleet.age(now);
+                let view_age = || this.sockets.fleet.age(now);
                 this.balancer.on_message(now, view_age, from, &message)
             });
         })?;
@@ -74,7 +72,11 @@
         spawn("ticks", move || {
             let now = || this.sockets.clock.now();
             let expire = || this.balancer.expire(now());
-            this.sockets.tick(|| this.balancer.on_tick(now()), expire);
+            let on_tick = || {
+                let now = now();
+                this.balancer.on_tick(now, || this.sockets.fleet.age(now))
+            };
+            this.sockets.tick(on_tick, expire);
         })?;
         Ok(())
     }
@@ -87,7 +89,7 @@
             };
             let now = self.sockets.clock.now();
             self.last_packet.store(now.0, Ordering::Relaxed);
-            let view_age = || self.fleet.age(now);
+            let view_age = || self.sockets.fleet.age(now);
             let bytes = Bytes::copy_from_slice(bytes);
             let actions = self.balancer.on_packet(now, view_age, &packet, bytes);
             self.sockets.execute_actions(actions);
--- a/crates/plantainquay_net/src/relay/fetch.rs
+++ b/crates/plantainquay_net/src/relay/fetch.rs
@@ -13,8 +13,16 @@
 /// Largest response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
 
-/// Requests the changes that are newer than `since` from the process at `source`, which waits up
-/// to `wait` for a change.
+/// What the other process waits for before it responds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Poll {
+    /// A change, for up to this time.
+    Changes(Duration),
+    /// A confirmation that its state matches the store, for a limited time.
+    Confirmation,
+}
+
+/// Requests the changes that are newer than `since` from the process at `source`.
 ///
 /// # Errors
 ///
@@ -23,8 +31,12 @@
     client: &Client,
     source: SocketAddr,
     since: FleetVersion,
-    wait: Duration,
+    poll: Poll,
 ) -> Result<Changes, String> {
+    let wait = match poll {
+        Poll::Changes(wait) => wait,
+        Poll::Confirmation => Duration::ZERO,
+    };
     let mut url = format!(
         "http://{source}/v1/changes?generation={}&era={}&revision={}&wait_ms={}",
         since.generation,
@@ -39,6 +51,9 @@
     if let Some(span) = since.history_span {
         let _infallible = write!(url, "&history_ms={}", span.as_millis());
     }
+    if poll == Poll::Confirmation {
+        url.push_str("&confirm=true");
+    }
     let response = client.get(url).send().await;
     let response = response.map_err(|error| error.to_string())?;
     if response.status() != StatusCode::OK {
--- a/crates/plantainquay_net/src/relay/fleet_state.rs
+++ b/crates/plantainquay_net/src/relay/fleet_state.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use log::Level;
+use ntex::time::timeout;
 use parking_lot::Mutex;
 use plantainquay_core::relay::RelayView;
 use plantainquay_core::{AppliedChanges, Fleet, FleetVersion, Timestamp};
@@ -15,6 +16,9 @@
 
 use crate::{Clock, event};
 
+/// Longest wait for a confirmation that the state matches the store.
+const CONFIRMATION_WAIT: Duration = Duration::from_millis(300);
+
 /// Installs a new view.
 pub type InstallView = Box<dyn Fn(Arc<RelayView>) + Send + Sync>;
 
@@ -26,6 +30,10 @@
     is_cut_off: AtomicBool,
     /// Incremented on each change.
     changed: watch::Sender<u64>,
+    /// Incremented on each request for a confirmation.
+    confirmation_requests: watch::Sender<u64>,
+    /// Incremented on each confirmation that the state matches the store.
+    confirmations: watch::Sender<u64>,
     /// Time from the start of the process to the first current view.
     start_to_ready: OnceLock<Duration>,
     peer_port: u16,
@@ -58,6 +66,8 @@
             install: Mutex::new(None),
             is_cut_off: AtomicBool::new(true),
             changed: watch::Sender::new(0),
+            confirmation_requests: watch::Sender::new(0),
+            confirmations: watch::Sender::new(0),
             start_to_ready: OnceLock::new(),
             peer_port,
             clock,
@@ -75,6 +85,7 @@
         let mut inner = self.inner.lock();
         let known_revision = inner.fleet.revision();
         let is_restored = inner.fleet.is_restored(changes.revision);
+        let is_confirmation = changes.age.is_some();
         let applied = inner.fleet.apply(now, changes);
         if is_restored {
             log_restore(known_revision, &inner.fleet, source);
@@ -87,6 +98,10 @@
                 self.record_ready(now);
             }
         }
+        drop(inner);
+        if is_confirmation {
+            self.confirmations.send_modify(|count| *count += 1);
+        }
     }
 
     /// Returns true if routes and upstreams were current at least once; from then on the last
@@ -175,6 +190,36 @@
         }
     }
 
+    /// Requests a confirmation that the state matches the store; see
+    /// [`confirm_on_request`](super::confirm_on_request).
+    pub fn request_confirmation(&self) {
+        self.confirmation_requests.send_modify(|count| *count += 1);
+    }
+
+    /// Returns a receiver that is notified of each later request for a confirmation.
+    #[must_use]
+    pub fn subscribe_confirmation_requests(&self) -> watch::Receiver<u64> {
+        self.confirmation_requests.subscribe()
+    }
+
+    /// Waits until the state is known to have matched the store at `time` or later, for at most
+    /// [`CONFIRMATION_WAIT`]; returns true if it is.
+    pub async fn wait_until_confirmed_since(&self, time: Timestamp) -> bool {
+        let mut confirmations = self.confirmations.subscribe();
+        let is_confirmed = || {
+            let now = self.clock.now();
+            self.age(now).is_some_and(|age| age <= now.since(time))
+        };
+        let wait = async {
+            while !is_confirmed() {
+                if confirmations.changed().await.is_err() {
+                    break;
+                }
+            }
+        };
+        timeout(CONFIRMATION_WAIT, wait).await.is_ok() && is_confirmed()
+    }
+
     /// Returns a receiver that is notified of each later change.
     #[must_use]
     pub fn subscribe(&self) -> watch::Receiver<u64> {
--- a/crates/plantainquay_net/src/relay/follow.rs
+++ b/crates/plantainquay_net/src/relay/follow.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +13,8 @@
 use plantainquay_core::{Fleet, Timestamp};
 use plantainquay_schema::{Changes, RelaySettings, StoreRevision};
 
-use super::{FleetState, Freshness, StoreError, StoreReader, fetch_changes};
+use super::fetch::{Poll, fetch_changes};
+use super::{FleetState, Freshness, StoreError, StoreReader};
 use crate::clock::sleep_for;
 use crate::event;
 
@@ -44,7 +46,7 @@
 const MAX_FOLLOWER_RETRY_DELAY: Duration = Duration::from_secs(5);
 
 /// Follows the store until the process ends; must run in an ntex system.
-pub async fn follow(settings: RelaySettings, state: Arc<FleetState>, store: StoreReader) {
+pub async fn follow(settings: RelaySettings, state: Arc<FleetState>, store: Rc<StoreReader>) {
     let mut follower = Follower {
         settings,
         state,
@@ -74,7 +76,7 @@
 struct Follower {
     settings: RelaySettings,
     state: Arc<FleetState>,
-    store: StoreReader,
+    store: Rc<StoreReader>,
     client: Client,
     /// Delay after the next failed read of the store.
     retry_delay: Duration,
@@ -147,7 +149,7 @@
     /// Requests changes from a source; returns `None` on failure or timeout.
     async fn fetch_from(&self, source: SocketAddr, wait: Duration) -> Option<Changes> {
         let since = self.state.version();
-        let response = fetch_changes(&self.client, source, since, wait);
+        let response = fetch_changes(&self.client, source, since, Poll::Changes(wait));
         match timeout(wait + SOURCE_TIMEOUT_MARGIN, response).await {
             Ok(Ok(changes)) => Some(changes),
             Ok(Err(error)) => {
--- a/crates/plantainquay_net/src/relay/http.rs
+++ b/crates/plantainquay_net/src/relay/http.rs
@@ -104,6 +104,9 @@
     routes: Option<u64>,
     /// Time for which the requester knows all former services of routes.
     history_ms: Option<u64>,
+    /// True if the state is to be confirmed to match the store before the response.
+    #[serde(default)]
+    confirm: bool,
 }
 
 impl ChangesQuery {
@@ -123,6 +126,13 @@
 #[web::get("/v1/changes")]
 async fn changes(state: State, query: web::types::Query<ChangesQuery>) -> HttpResponse {
     let since = query.version(state.fleet.version().revision.era);
+    if query.confirm {
+        let now = state.fleet.now();
+        state.fleet.request_confirmation();
+        if !state.fleet.wait_until_confirmed_since(now).await {
+            return HttpResponse::ServiceUnavailable().body("not confirmed in time\n");
+        }
+    }
     let wait = Duration::from_millis(query.wait_ms).min(SOURCE_WAIT);
     let mut changed = state.fleet.subscribe();
     let is_newer = || {
--- a/crates/plantainquay_net/src/relay/sockets.rs
+++ b/crates/plantainquay_net/src/relay/sockets.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -13,7 +14,7 @@
 use plantainquay_schema::{RelayMessage, RelaySettings};
 use thiserror::Error;
 
-use super::PacketFormat;
+use super::{FleetState, PacketFormat};
 use crate::{Clock, bind_udp, event};
 
 /// Largest datagram, in bytes.
@@ -57,6 +58,8 @@
     pub format: PacketFormat,
     /// The process's clock.
     pub clock: Clock,
+    /// Routes and upstreams.
+    pub fleet: Arc<FleetState>,
     /// Number of malformed datagrams.
     pub malformed: AtomicU64,
 }
@@ -69,6 +72,7 @@
         upstream: Option<SocketAddr>,
         format: PacketFormat,
         clock: Clock,
+        fleet: Arc<FleetState>,
     ) -> Result<Self, RelayStartError> {
         let bind = |address| bind_udp(address).map_err(|e| RelayStartError::Socket(address, e));
         Ok(Self {
@@ -78,6 +82,7 @@
             upstream,
             format,
             clock,
+            fleet,
             malformed: AtomicU64::new(0),
         })
     }
@@ -118,6 +123,7 @@
                 histogram!("relay_answer_seconds", "listener" => listener.to_string())
                     .record(elapsed);
             }
+            Action::ConfirmView => self.fleet.request_confirmation(),
             Action::Drop(reason) => event(Level::Debug, "packet_dropped", &[("reason", &reason)]),
         }
     }
--- a/crates/plantainquay_net/src/relay/store.rs
+++ b/crates/plantainquay_net/src/relay/store.rs
@@ -15,6 +15,9 @@
     pub read_all: Box<dyn Fn(Freshness) -> ReadFuture>,
     /// Waits for changes after a revision.
     pub watch: Box<dyn Fn(StoreRevision) -> ReadFuture>,
+    /// Reads the changes after a revision without waiting for one; the age of the result is that of
+    /// the request.
+    pub confirm: Box<dyn Fn(StoreRevision) -> ReadFuture>,
 }
 
 impl fmt::Debug for StoreReader {
--- a/crates/plantainquay_schema/src/relay.rs
+++ b/crates/plantainquay_schema/src/relay.rs
@@ -40,7 +40,8 @@
     Located(Claim),
     /// The sender's upstream does not hold the flow.
     NotHeld(FiveTuple),
-    /// Every upstream of the service has reported that it does not hold the flow.
+    /// Every upstream of the service that the sender knows has reported that it does not hold the
+    /// flow.
     Lost(LostFlow),
     /// No upstream of the service accepts the new flow.
     Refused(FiveTuple),
@@ -89,6 +90,9 @@
     /// Highest store revision of the upstreams that denied the flow; `None` if the sender doesn't
     /// report it.
     pub upstreams_revision: Option<StoreRevision>,
+    /// True if the sender's list of upstreams matched the store after the sender received a packet
+    /// of the flow, so that the list includes the upstream at which the flow opened.
+    pub is_complete: bool,
 }
 
 /// A packet that opens a flow, forwarded until an upstream accepts it.
@@ -371,6 +375,7 @@
             listener: flow.listener,
             upstreams_revision: lost.upstreams_revision.map(|r| r.number),
             upstreams_era: lost.upstreams_revision.map_or(0, |r| r.era),
+            is_complete: lost.is_complete,
         })
     }
 }
@@ -387,6 +392,7 @@
         Ok(Self {
             tuple: flow.try_into()?,
             upstreams_revision: revision.map(|n| StoreRevision::new(lost.upstreams_era, n)),
+            is_complete: lost.is_complete,
         })
     }
 }
--- a/crates/plantainquay_trace/src/relay/process.rs
+++ b/crates/plantainquay_trace/src/relay/process.rs
@@ -100,8 +100,8 @@
             self.rebuild(now);
         }
         match &self.role {
-            Role::Balancer(balancer) => balancer.on_tick(now),
-            Role::Agent(agent) => agent.on_tick(now),
+            Role::Balancer(balancer) => balancer.on_tick(now, || self.view_age(now)),
+            Role::Agent(agent) => agent.on_tick(now, &|| self.view_age(now)),
         }
     }
 
@@ -116,7 +116,9 @@
             Role::Balancer(balancer) => {
                 balancer.on_message(now, || self.view_age(now), from, &message)
             }
-            Role::Agent(agent) => agent.on_message(now, from, message, packet),
+            Role::Agent(agent) => {
+                agent.on_message(now, &|| self.view_age(now), from, message, packet)
+            }
         }
     }
 
--- a/crates/plantainquay_trace/src/relay/simulation.rs
+++ b/crates/plantainquay_trace/src/relay/simulation.rs
@@ -50,6 +50,8 @@
     network: Network,
     balancers: usize,
     processes: Vec<Process>,
+    /// Indices of processes that have asked for a confirmation of their state since the last tick.
+    awaiting_confirmation: BTreeSet<usize>,
     upstreams: BTreeMap<u16, Upstream>,
     store: Store,
     /// Services to which upstreams are assigned in turn.
@@ -154,6 +156,7 @@
             network: Network::new(seed),
             balancers: balancers.into(),
             processes: Vec::new(),
+            awaiting_confirmation: BTreeSet::new(),
             upstreams: BTreeMap::new(),
             store: Store::new(route_document(1, &[(first_service.as_str(), 1)])),
             named_services: [first_service].into(),
@@ -265,6 +268,7 @@
         if self.now_ms.is_multiple_of(CONFIRM_INTERVAL_MS) {
             self.broadcast_changes(&self.empty_changes());
         }
+        self.confirm_on_request(now);
         for index in 0..self.processes.len() {
             let process = &mut self.processes[index];
             if !process.is_down && !process.is_paused {
@@ -274,6 +278,17 @@
         }
     }
 
+    /// Confirms the state of the processes that have asked for it since the last tick.
+    fn confirm_on_request(&mut self, now: Timestamp) {
+        let changes = self.empty_changes();
+        for index in std::mem::take(&mut self.awaiting_confirmation) {
+            let process = &mut self.processes[index];
+            if process.can_be_source() {
+                process.apply_changes(now, changes.clone());
+            }
+        }
+    }
+
     /// Delivers an arrival to its receiver; arrivals at a paused process are rescheduled.
     fn deliver(&mut self, arrival: Arrival) {
         let index = match &arrival {
@@ -316,7 +331,7 @@
                 Role::Agent(agent),
             ) => {
                 let parsed = to_packet(&packet, returned);
-                agent.on_upstream_packet(now, &parsed, packet)
+                agent.on_upstream_packet(now, &|| process.view_age(now), &parsed, packet)
             }
             (Arrival::Message { from, message, .. }, _) => {
                 let packet = message.body.packet().map(|bytes| to_packet(bytes, false));
@@ -343,6 +358,9 @@
                     let flow = tuple.source.port() - 10_000;
                     self.reset(index, flow, &reason);
                 }
+                Action::ConfirmView => {
+                    self.awaiting_confirmation.insert(index);
+                }
                 Action::Drop(_) | Action::RecordDecision(_) | Action::RecordAnswerTime { .. } => {}
             }
         }
--- a/crates/plantainquayctl/src/explain.rs
+++ b/crates/plantainquayctl/src/explain.rs
@@ -7,7 +7,7 @@
 use ntex::time::timeout;
 use plantainquay_core::relay::{CandidateState, RelayView, ServiceCandidates};
 use plantainquay_core::{FiveTuple, Fleet, FleetVersion, Timestamp};
-use plantainquay_net::relay::fetch_changes;
+use plantainquay_net::relay::{Poll, fetch_changes};
 use plantainquay_schema::{Changes, FlowId, Route, WeightedService};
 use serde_json::json;
 
@@ -156,7 +156,12 @@
 
 fn fetch_state(daemon: SocketAddr) -> Option<Changes> {
     with_client(async move |client| {
-        let fetch = fetch_changes(&client, daemon, FleetVersion::default(), Duration::ZERO);
+        let fetch = fetch_changes(
+            &client,
+            daemon,
+            FleetVersion::default(),
+            Poll::Changes(Duration::ZERO),
+        );
         timeout(REQUEST_TIMEOUT, fetch).await.ok()?.ok()
     })
 }
--- a/crates/plantainquayd/src/relay.rs
+++ b/crates/plantainquayd/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -11,8 +12,8 @@
 use ntex::time::{Millis, sleep};
 use plantainquay_core::Fleet;
 use plantainquay_net::relay::{
-    AgentThreads, BalancerThreads, FleetState, PacketFormat, RelayHttpState, StoreReader, follow,
-    serve_relay_http,
+    AgentThreads, BalancerThreads, FleetState, PacketFormat, RelayHttpState, StoreReader,
+    confirm_on_request, follow, serve_relay_http,
 };
 use plantainquay_net::{Clock, event};
 use plantainquay_schema::{RelayRole, RelaySettings};
@@ -78,7 +79,17 @@
         serve_relay_http(&addresses, http).context("failed to start the HTTP server")?;
         let client = ntex::client::Client::new().await;
         let store = (adapter.store_reader)(settings.store, client);
-        ntex::rt::spawn(follow(settings.clone(), Arc::clone(&fleet), store));
+        let store = Rc::new(store);
+        ntex::rt::spawn(follow(
+            settings.clone(),
+            Arc::clone(&fleet),
+            Rc::clone(&store),
+        ));
+        ntex::rt::spawn(confirm_on_request(
+            settings.clone(),
+            Arc::clone(&fleet),
+            store,
+        ));
         ntex::rt::spawn(expire_departed_upstreams(Arc::clone(&fleet)));
         ntex::rt::spawn(watch_settings(adapter.settings_path, settings.clone()));
         log_start(&settings);
@@ -128,7 +139,8 @@
                 Ok(Self::Balancer(threads))
             }
             RelayRole::Agent(agent) => {
-                let threads = AgentThreads::start(settings, agent, adapter.format, clock)?;
+                let threads =
+                    AgentThreads::start(settings, agent, adapter.format, Arc::clone(fleet), clock)?;
                 let view_target = Arc::clone(&threads);
                 fleet.set_install_view(Box::new(move |view| view_target.agent.install(view)));
                 Ok(Self::Agent(threads, agent.upstream))
