Use only the latest start at each address

Cause: the former start's entry is listed for three heartbeat intervals and counts for 2.2 s more. Of two entries with one agent the view kept the more usable one, so that the former start, ready, hid the present one, draining.

Evidence: each late flow is at an address with two entries, and ends with the grace period of the former one.

Ruled out: late lists; the grace period alone.

Change: the fleet knows the entries at each address and uses that of the latest start, by the time of the start; an entry that was written after another one departed is later whatever the clocks say. It holds across services, in restored copies, for sources and for the agent's own view.

The property on incremental views now draws several starts at one address; it failed for a repeated departure, which now renews the view.

--- a/crates/plantainquay_core/src/fleet.rs
+++ b/crates/plantainquay_core/src/fleet.rs
@@ -239,7 +239,8 @@
         self.confirmed_at.is_some() && revision.era > self.revision.era
     }
 
-    /// Upstreams that the store lists, and those in the grace period after their departure.
+    /// Upstreams that the store lists, and those in the grace period after their departure; only the
+    /// latest start at each address.
     pub fn current_upstreams(&self, now: Timestamp) -> impl Iterator<Item = &UpstreamRecord> {
         let in_grace_period = self
             .departed
@@ -248,6 +249,7 @@
         self.upstreams
             .values()
             .chain(in_grace_period.filter_map(|d| d.last.as_ref()))
+            .filter(|record| self.is_latest_start(&record.entry))
     }
 
     /// Number of changes to services so far; see [`Fleet::services_changed_since`].
@@ -261,7 +263,8 @@
         self.index.changed_since(change_count)
     }
 
-    /// Upstreams of a service, ordered by presence and then by identifier.
+    /// Upstreams of a service, ordered by presence and then by identifier; only the latest start at
+    /// each address, whatever its service.
     #[must_use]
     pub fn service_upstreams(
         &self,
@@ -279,11 +282,44 @@
             .index
             .of_service(service)
             .filter_map(with_presence)
+            .filter(|(record, _)| self.is_latest_start(&record.entry))
             .collect();
         upstreams.sort_by_key(|(_, presence)| *presence);
         upstreams
     }
 
+    /// Returns true if no other entry at the same address is of a later start.
+    ///
+    /// An instance runs one upstream at a time, and its former starts hold nothing any more.
+    fn is_latest_start(&self, entry: &UpstreamEntry) -> bool {
+        let mut starts = self.index.at_ip(entry.ip);
+        !starts.any(|id| {
+            self.entry(id)
+                .is_some_and(|e| self.is_later_start(e, entry))
+        })
+    }
+
+    /// Returns true if `entry` is of a later start than `other`, at the same address.
+    fn is_later_start(&self, entry: &UpstreamEntry, other: &UpstreamEntry) -> bool {
+        let wrote_after_departure_of = |entry: &UpstreamEntry, other: &UpstreamEntry| {
+            let departed = self.departed.get(&other.id).map(|d| d.revision);
+            departed.is_some_and(|r| r.era == entry.revision.era && r < entry.revision)
+        };
+        // The clock may have been set back between the two starts.
+        if wrote_after_departure_of(entry, other) || wrote_after_departure_of(other, entry) {
+            return wrote_after_departure_of(entry, other);
+        }
+        let order = |entry: &UpstreamEntry| (entry.incarnation, entry.revision);
+        (order(entry), &entry.id) > (order(other), &other.id)
+    }
+
+    /// Returns the entry of an upstream that the store lists, or the last one that it listed.
+    fn entry(&self, id: &Name) -> Option<&UpstreamEntry> {
+        let departed = || self.departed.get(id)?.last.as_ref();
+        let record = self.upstreams.get(id).or_else(departed)?;
+        Some(&record.entry)
+    }
+
     /// Drops expired departures and former services; returns true if a view must be rebuilt.
     ///
     /// `previous_call` is the time of the call before.
@@ -300,7 +336,7 @@
                 any_grace_period_ended = true;
                 d.last
                     .iter()
-                    .for_each(|record| index.mark_changed(&record.entry.service));
+                    .for_each(|record| index.mark_changed_at(record.entry.ip));
             }
             keep
         });
@@ -377,8 +413,9 @@
                 return false;
             }
             previous.revision = departure.revision;
-            if previous.last.is_some() {
-                return false;
+            if let Some(last) = &previous.last {
+                self.index.mark_changed_at(last.entry.ip);
+                return true;
             }
         }
         let reported = departure.last.map(|entry| UpstreamRecord {
--- a/crates/plantainquay_core/src/fleet/index.rs
+++ b/crates/plantainquay_core/src/fleet/index.rs
@@ -1,16 +1,20 @@
 //! Indexes over the entries of a fleet.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::Ipv4Addr;
 
 use plantainquay_schema::{Name, StoreRevision, UpstreamEntry};
 
-/// Entries by revision and by service, and services by their last change.
+/// Entries by revision, by service and by address, and services by their last change.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Index {
     /// Entries that the store lists, by revision.
     by_revision: BTreeSet<(StoreRevision, Name)>,
     /// Listed and departed entries, by service.
     by_service: HashMap<Name, BTreeSet<Name>>,
+    /// Listed and departed entries with their services, by address: each start of an upstream has an
+    /// entry of its own.
+    by_ip: HashMap<Ipv4Addr, BTreeMap<Name, Name>>,
     /// Number of changes to services so far.
     change_count: u64,
     /// Services by the number of their last change.
@@ -30,7 +34,9 @@
     pub(super) fn add_departed(&mut self, entry: &UpstreamEntry) {
         let ids = self.by_service.entry(entry.service.clone()).or_default();
         ids.insert(entry.id.clone());
-        self.mark_changed(&entry.service);
+        let starts = self.by_ip.entry(entry.ip).or_default();
+        starts.insert(entry.id.clone(), entry.service.clone());
+        self.mark_changed_at(entry.ip);
     }
 
     /// Removes an entry and records the change to its service.
@@ -42,11 +48,26 @@
                 self.by_service.remove(&entry.service);
             }
         }
-        self.mark_changed(&entry.service);
+        self.mark_changed_at(entry.ip);
+        if let Some(starts) = self.by_ip.get_mut(&entry.ip) {
+            starts.remove(&entry.id);
+            if starts.is_empty() {
+                self.by_ip.remove(&entry.ip);
+            }
+        }
     }
 
-    /// Records a change to a service's entries or their presence.
-    pub(super) fn mark_changed(&mut self, service: &Name) {
+    /// Records a change to an entry or its presence: it may decide for all services at its address
+    /// which start is used.
+    pub(super) fn mark_changed_at(&mut self, ip: Ipv4Addr) {
+        let starts = self.by_ip.get(&ip).into_iter().flatten();
+        let services: BTreeSet<Name> = starts.map(|(_, service)| service.clone()).collect();
+        for service in &services {
+            self.mark_changed(service);
+        }
+    }
+
+    fn mark_changed(&mut self, service: &Name) {
         self.change_count += 1;
         let last = self
             .last_change_by_service
@@ -84,6 +105,11 @@
         newer.into_iter().flatten().map(|(_, id)| id)
     }
 
+    /// Listed and departed entries at an address.
+    pub(super) fn at_ip(&self, ip: Ipv4Addr) -> impl Iterator<Item = &Name> {
+        self.by_ip.get(&ip).into_iter().flat_map(BTreeMap::keys)
+    }
+
     /// Listed and departed entries of a service.
     pub(super) fn of_service(&self, service: &Name) -> impl Iterator<Item = &Name> {
         self.by_service.get(service).into_iter().flatten()
--- a/crates/plantainquay_core/src/relay/view.rs
+++ b/crates/plantainquay_core/src/relay/view.rs
@@ -1,7 +1,6 @@
 //! Immutable snapshots of routes and upstreams for lookups on the packet path.
 
 use std::collections::HashMap;
-use std::collections::hash_map::Entry;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -296,20 +295,11 @@
         eligible.get(index).copied()
     }
 
-    /// Adds a candidate; of two with the same agent, the more usable one is kept.
+    /// Adds the only candidate with its agent.
     fn add(&mut self, candidate: Candidate) {
-        match self.by_agent.entry(candidate.agent) {
-            Entry::Occupied(index) => {
-                let existing = &mut self.candidates[*index.get()];
-                if candidate.state < existing.state {
-                    *existing = candidate;
-                }
-            }
-            Entry::Vacant(index) => {
-                index.insert(self.candidates.len());
-                self.candidates.push(candidate);
-            }
-        }
+        let previous = self.by_agent.insert(candidate.agent, self.candidates.len());
+        debug_assert!(previous.is_none(), "two upstreams with one agent");
+        self.candidates.push(candidate);
     }
 }
 
--- a/crates/plantainquay_core/tests/relay/main.rs
+++ b/crates/plantainquay_core/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod lookup;
 mod opening;
 mod pacing;
+mod restarts;
 mod restored_store;
 mod routes;
 mod search;
--- a/crates/plantainquay_core/tests/relay/view.rs
+++ b/crates/plantainquay_core/tests/relay/view.rs
@@ -4,12 +4,17 @@
 
 use plantainquay_core::relay::{CandidateState, RelayView, ServiceCandidates};
 use plantainquay_core::{Fleet, FleetVersion, Timestamp};
-use plantainquay_schema::{Changes, Departure, Name, ServiceId, StoreRevision, UpstreamEntry};
+use plantainquay_schema::{
+    Changes, Departure, Incarnation, Name, ServiceId, StoreRevision, UpstreamEntry,
+};
 use proptest::collection::vec;
 use proptest::prelude::*;
 
 use crate::support::{PEER_PORT, store_revision, upstream};
 
+/// Number of addresses, which the upstreams share: each start has an entry of its own.
+const ADDRESSES: u8 = 4;
+
 const SERVICES: [&str; 3] = ["feed", "desk", "maps"];
 
 /// A change of a fleet.
@@ -34,6 +39,8 @@
 fn entry(number: u8, service: usize, draining: bool, revision: StoreRevision) -> UpstreamEntry {
     UpstreamEntry {
         service: SERVICES[service].into(),
+        ip: upstream(number % ADDRESSES + 1).ip,
+        incarnation: Incarnation(u64::from(number) / 2),
         draining,
         revision,
         ..upstream(number)
