Accept fractions and empty figures in the relay's settings

Cause: the platform's bounds may have fractions, and the template copies them into settings that were whole numbers: stop_grace_s, flow_ttl_s, and threads from the cores. A bound without a value, or an empty first_start, ended the process too.

Ruled out: anything but the parser; with a whole number all processes start.

Change: the three are numbers with or without a fraction and may be empty. Zero stands for zero, not for the default; a share of a core is one thread. Out of range, field, value and limit are named before anything is opened, and errors of the parser about a value name the field, but not the value: it may be a secret.

Nine new cases of plantainquayd/tests/relay_settings.rs fail on the former code.

--- a/crates/plantainquay_schema/src/relay_settings.rs
+++ b/crates/plantainquay_schema/src/relay_settings.rs
@@ -3,15 +3,18 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use crate::settings::{check_address, check_log_level, check_name, value_or_default};
+use crate::settings::{check_address, check_log_level, check_name};
 use crate::{Name, ServiceId, ValidationErrors, wire, yaml};
 
-const DEFAULT_THREADS: u32 = 1;
-const MAX_THREADS: u32 = 8;
-const DEFAULT_STOP_GRACE_S: u64 = 6;
-const DEFAULT_FLOW_TTL_S: u64 = 60;
+const DEFAULT_THREADS: f64 = 1.0;
+const MAX_THREADS: usize = 8;
+/// Largest accepted number of threads; at most [`MAX_THREADS`] are started.
+const MAX_THREADS_SETTING: u32 = 65_536;
+const DEFAULT_STOP_GRACE_S: f64 = 6.0;
+const MAX_STOP_GRACE_S: u32 = u32::MAX;
+const DEFAULT_FLOW_TTL_S: f64 = 60.0;
 /// Longest time for which former services of routes are kept.
-const MAX_FLOW_TTL_S: u64 = 24 * 60 * 60;
+const MAX_FLOW_TTL_S: u32 = 24 * 60 * 60;
 
 /// Validated settings of a relay daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -104,12 +107,13 @@
     let store = check_address("store", &wire.store, errors);
     let peer_port = check_port("peer_port", wire.peer_port, errors);
     let metrics_port = check_port("metrics_port", wire.metrics_port, errors);
-    let threads = value_or_default(wire.threads, DEFAULT_THREADS).min(MAX_THREADS);
-    let stop_grace_s = value_or_default(wire.stop_grace_s, DEFAULT_STOP_GRACE_S);
+    let threads = wire.threads.unwrap_or(DEFAULT_THREADS);
+    let threads = check_number("threads", threads, MAX_THREADS_SETTING, errors);
+    let stop_grace_s = wire.stop_grace_s.unwrap_or(DEFAULT_STOP_GRACE_S);
+    let stop_grace_s = check_number("stop_grace_s", stop_grace_s, MAX_STOP_GRACE_S, errors);
     let log_level = check_log_level(&wire.log_level, errors);
-    let flow_ttl_s = value_or_default(wire.flow_ttl_s, DEFAULT_FLOW_TTL_S);
-    let is_in_range = flow_ttl_s <= MAX_FLOW_TTL_S;
-    errors.require(is_in_range, "flow_ttl_s", "must be at most 86400");
+    let flow_ttl_s = wire.flow_ttl_s.unwrap_or(DEFAULT_FLOW_TTL_S);
+    let flow_ttl_s = check_number("flow_ttl_s", flow_ttl_s, MAX_FLOW_TTL_S, errors);
     let packets = packets?;
     let advertised_ip = &wire.advertised_ip;
     let advertised_ip = check_ip("advertised_ip", advertised_ip, packets.ip(), errors);
@@ -125,14 +129,33 @@
         changes: with_port(peer_port? + 1),
         metrics: with_port(metrics_port?),
         store: store?,
-        threads: threads as usize,
-        stop_grace: Duration::from_secs(stop_grace_s),
+        threads: thread_count(threads?),
+        stop_grace: Duration::from_secs_f64(stop_grace_s?),
         log_level: log_level.into(),
-        flow_ttl: Duration::from_secs(flow_ttl_s),
-        first_start: wire.first_start,
+        flow_ttl: Duration::from_secs_f64(flow_ttl_s?),
+        first_start: wire.first_start.unwrap_or(false),
     })
 }
 
+/// Returns the number if it is between zero and `max`.
+fn check_number(path: &str, value: f64, max: u32, errors: &mut ValidationErrors) -> Option<f64> {
+    let is_in_range = (0.0..=f64::from(max)).contains(&value);
+    let parsed = is_in_range
+        .then_some(value)
+        .ok_or_else(|| format!("must be 0 to {max}, not {value:?}"));
+    errors.ok_or_record(path, parsed)
+}
+
+/// Returns the number of threads to start for a number that may be a share of a core.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "checked to be between zero and a small number"
+)]
+fn thread_count(threads: f64) -> usize {
+    (threads.ceil() as usize).clamp(1, MAX_THREADS)
+}
+
 fn check_role(
     wire: &wire::relay_settings::RelaySettings,
     errors: &mut ValidationErrors,
--- a/crates/plantainquay_schema/src/settings.rs
+++ b/crates/plantainquay_schema/src/settings.rs
@@ -2,7 +2,7 @@
 
 mod check;
 
-pub(crate) use check::{check_address, check_log_level, check_name, value_or_default};
+pub(crate) use check::{check_address, check_log_level, check_name};
 
 use std::fmt;
 use std::net::SocketAddr;
--- a/crates/plantainquay_schema/src/settings/check.rs
+++ b/crates/plantainquay_schema/src/settings/check.rs
@@ -171,7 +171,7 @@
     matching_level.unwrap_or("info")
 }
 
-pub(crate) fn value_or_default<T: Default + PartialEq>(value: T, default: T) -> T {
+fn value_or_default<T: Default + PartialEq>(value: T, default: T) -> T {
     if value == T::default() {
         default
     } else {
--- a/crates/plantainquayd/tests/relay_settings.rs
+++ b/crates/plantainquayd/tests/relay_settings.rs
@@ -34,6 +34,20 @@
 #[case::bad_advertised_ip("", "", "advertised_ip: '10.1.0.10:7720'\n")]
 #[case::other_flow_lifetime("", "", "flow_ttl_s: 300\nfirst_start: true\n")]
 #[case::flow_lifetime_too_long("", "", "flow_ttl_s: 86401\n")]
+// Guards against figures that the platform may fill in and that kept every process from starting.
+#[case::fractions("", "", "threads: 0.25\nstop_grace_s: 6.5\nflow_ttl_s: 59.999\n")]
+#[case::figures_that_are_absent("", "", "threads: \nstop_grace_s: \nflow_ttl_s: \nfirst_start: \n")]
+#[case::smallest_figures("", "", "threads: 0\nstop_grace_s: 0\nflow_ttl_s: 1e-9\n")]
+#[case::largest_figures("", "", "threads: 64\nstop_grace_s: 4294967295\nflow_ttl_s: 86400.0\n")]
+#[case::negative_figures("", "", "threads: -1\nstop_grace_s: -0.5\nflow_ttl_s: -1e300\n")]
+#[case::figures_that_are_no_numbers(
+    "",
+    "",
+    "threads: .nan\nstop_grace_s: .inf\nflow_ttl_s: -.inf\n"
+)]
+#[case::truth_value_for_a_figure("", "", "stop_grace_s: true\n")]
+#[case::text_for_a_figure("", "", "flow_ttl_s: soon\n")]
+#[case::fraction_for_a_port("metrics_port: 9464", "metrics_port: 9464.5", "")]
 #[case::nothing(BALANCER, "", "")]
 #[case::bad_addresses(
     "role: balancer",
--- a/xtask/src/codegen.rs
+++ b/xtask/src/codegen.rs
@@ -33,6 +33,13 @@
     ".plantainquay.relay_settings",
 ];
 
+/// Fields that may be whole numbers or fractions, and empty.
+const NUMBER_FIELDS: [&str; 3] = [
+    ".plantainquay.relay_settings.RelaySettings.threads",
+    ".plantainquay.relay_settings.RelaySettings.stop_grace_s",
+    ".plantainquay.relay_settings.RelaySettings.flow_ttl_s",
+];
+
 /// Writes the generated code into the source trees of the schema and adapter crates.
 pub(crate) fn write() -> Result<()> {
     let generated = generate_to_target()?;
@@ -92,6 +99,10 @@
             .type_attribute(package, "#[derive(serde::Deserialize, serde::Serialize)]")
             .type_attribute(package, "#[serde(default, deny_unknown_fields)]");
     }
+    for field in NUMBER_FIELDS {
+        let attribute = "#[serde(deserialize_with = \"crate::yaml::number\")]";
+        builder = builder.field_attribute(field, attribute);
+    }
     builder.compile_fds(descriptors)?;
     Ok(())
 }
