Count the complete report of a service that was asked before another

Cause: an agent reports twice, at once and when its list is confirmed. By then the balancer has asked the next service, and ignored reports of any other.

Ruled out: lists that aren't confirmed (lookup_lost comes 110 ms after the first packet, half of them).

Change: a report counts if the service is the one asked or has denied the flow. services_complete_their_reports_in_any_order fails without it.

--- a/crates/plantainquay_core/src/relay/balancer/event.rs
+++ b/crates/plantainquay_core/src/relay/balancer/event.rs
@@ -230,16 +230,23 @@
             .map_or_else(StoreRevision::default, ServiceCandidates::revision);
         let revision = lost.upstreams_revision.unwrap_or(own_revision);
         let mut shard = self.balancer.shard(flow);
-        let entry = shard.get_mut(flow, &tuple);
-        let Some(entry) = entry.filter(|entry| entry.service == service) else {
+        let Some(entry) = shard.get_mut(flow, &tuple) else {
             return;
         };
+        let is_asked = entry.service == service;
+        let search = entry.search.as_ref();
+        // An agent reports again once its list is confirmed, while others are asked.
+        if !is_asked && !search.is_some_and(|search| search.is_denied_by(service)) {
+            return;
+        }
         let new_search = || Box::new(ServiceSearch::new(self.now));
         let search = entry.search.get_or_insert_with(new_search);
         if search.has_ended() {
             return;
         }
-        search.on_answer();
+        if is_asked {
+            search.on_answer();
+        }
         // A denial that waited while this process was paused is old; an agent with an older revision
         // doesn't know every upstream. The caller's next packet asks again.
         if revision < own_revision || self.balancer.pause_detector.was_paused(self.now) {
--- a/crates/plantainquay_core/src/relay/balancer/search.rs
+++ b/crates/plantainquay_core/src/relay/balancer/search.rs
@@ -249,7 +249,8 @@
         }
     }
 
-    fn is_denied_by(&self, service: ServiceId) -> bool {
+    /// Returns true if no known upstream of a service holds the flow.
+    pub(super) fn is_denied_by(&self, service: ServiceId) -> bool {
         self.denials.iter().any(|denial| denial.service == service)
     }
 
--- a/crates/plantainquay_core/tests/relay/search.rs
+++ b/crates/plantainquay_core/tests/relay/search.rs
@@ -400,6 +400,36 @@
     assert!(is_reset(&site.answer(2_210, owner, service, lost(1, 1))));
 }
 
+/// The complete report of a service counts although another service was asked since its first one.
+#[rstest]
+fn services_complete_their_reports_in_any_order() {
+    let mut site = Site::with_whole_history(&names(2));
+    site.publish(0, &["s0"]);
+    site.publish(0, &["s1"]);
+    site.confirm(2_000);
+    let incomplete = RelayBody::Lost(LostFlow {
+        tuple: tuple(1),
+        upstreams_revision: Some(store_revision(1)),
+        is_complete: false,
+    });
+    let (owner, first) = asked(&site.send(2_000, 1)).expect("the owner is asked");
+    let actions = site.answer(2_010, owner, first, incomplete.clone());
+    let (former_owner, former) = asked(&actions).expect("the former service is asked");
+    assert!(!is_reset(&site.answer(
+        2_020,
+        former_owner,
+        former,
+        incomplete
+    )));
+    assert!(!is_reset(&site.answer(2_030, owner, first, lost(1, 1))));
+    assert!(is_reset(&site.answer(
+        2_040,
+        former_owner,
+        former,
+        lost(1, 1)
+    )));
+}
+
 /// A flow whose route leads to no upstream is reset once that is confirmed.
 #[rstest]
 fn flow_without_any_upstream_to_ask_is_reset_once_confirmed() {
