Continue searches as soon as the view is confirmed

Cause: a denied lookup looked for its confirmation at its next round of probes, up to 80 ms later, searches at the next tick; confirmations came 50 ms apart, twice in a row for those that ask a source.

Ruled out: the store (4 ms an answer), the probes themselves (a few ms).

--- a/crates/plantainquay_core/src/relay/agent/established.rs
+++ b/crates/plantainquay_core/src/relay/agent/established.rs
@@ -46,8 +46,8 @@
             if !enqueue(&mut lookup.queue, established) {
                 cx.actions.push(Action::Drop(DropReason::LookupFull));
             }
-            if lookup::continue_lookup(cx, entry) {
-                shard.timers.schedule(cx.now + lookup::PROBE_INTERVAL, flow);
+            if let Some(tick_at) = lookup::continue_lookup(cx, entry) {
+                shard.timers.schedule(tick_at, flow);
             }
         }
         FlowState::Remote(holder)
--- a/crates/plantainquay_core/src/relay/agent/lookup.rs
+++ b/crates/plantainquay_core/src/relay/agent/lookup.rs
@@ -32,8 +32,8 @@
 /// Time for which a lookup that every known agent has denied waits for the confirmation that no
 /// other agent is listed.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(5);
-/// Interval at which such a lookup checks for the confirmation.
-const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Minimum interval at which such a lookup checks for the confirmation: at each tick.
+const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 /// Time for which a lookup waits for answers from agents that the store no longer lists.
 const FORMER_AGENT_TIMEOUT: Duration = Duration::from_millis(300);
 /// The same for agents that didn't answer an earlier lookup either: several round trips to an agent
@@ -132,25 +132,25 @@
 /// Continues a lookup with another packet of the caller: starts over if the lookup is old, and
 /// probes again if the last round was at least [`PROBE_INTERVAL`] ago.
 ///
-/// Returns true if a timer must be scheduled.
-pub(super) fn continue_lookup(cx: &mut Context<'_>, entry: &mut FlowEntry) -> bool {
+/// Returns the time of the next tick, if a timer must be scheduled for it.
+pub(super) fn continue_lookup(cx: &mut Context<'_>, entry: &mut FlowEntry) -> Option<Timestamp> {
     let FlowState::LookingUp(lookup) = &mut entry.state else {
-        return false;
+        return None;
     };
     entry.last_packet_at = cx.now;
     lookup.reported_to = None;
     if awaits_confirmation(cx, lookup) {
         finish_if_denied(cx, entry);
-        return true;
+        return confirmation_check_at(entry);
     }
     if restart_if_old(cx, lookup) {
-        return true;
+        return Some(cx.now + PROBE_INTERVAL);
     }
     if cx.now.since(lookup.last_round_at) >= PROBE_INTERVAL {
         send_probes(cx, lookup);
     }
     finish_if_denied(cx, entry);
-    false
+    confirmation_check_at(entry)
 }
 
 /// Probes every other agent that hasn't denied the flow; returns the number of probes.
@@ -259,6 +259,9 @@
             }
             lookup.denied_by.push(from);
             finish_if_denied(cx, entry);
+            if let Some(check_at) = confirmation_check_at(entry) {
+                shard.timers.schedule(check_at, flow);
+            }
         }
         FlowState::Remote(holder) if holder.agent == from => entry.state = FlowState::Closing,
         _ => {}
@@ -304,6 +307,8 @@
     let tuple = entry.tuple;
     if !cx.is_view_confirmed_since(lookup.requested_at) {
         cx.actions.push(Action::ConfirmView);
+        lookup.awaits_confirmation = true;
+        lookup.next_tick_at = cx.now + CONFIRMATION_CHECK_INTERVAL;
         let balancer = entry.balancer.filter(|b| lookup.reported_to != Some(*b));
         if let Some(balancer) = balancer {
             lookup.reported_to = Some(balancer);
@@ -325,6 +330,14 @@
     }
 }
 
+/// Returns the time at which a lookup that waits for a confirmation checks for it.
+pub(super) fn confirmation_check_at(entry: &FlowEntry) -> Option<Timestamp> {
+    match &entry.state {
+        FlowState::LookingUp(lookup) if lookup.awaits_confirmation => Some(lookup.next_tick_at),
+        _ => None,
+    }
+}
+
 /// Returns true if every known upstream has denied the flow, but the list may lack one.
 fn awaits_confirmation(cx: &Context<'_>, lookup: &Lookup) -> bool {
     !awaits_answer(cx, lookup) && !cx.is_view_confirmed_since(lookup.requested_at)
@@ -419,7 +432,6 @@
             return None;
         }
         lookup.last_round_at = cx.now;
-        lookup.awaits_confirmation = true;
         finish_if_denied(cx, entry);
         CONFIRMATION_CHECK_INTERVAL
     } else if (was_paused || awaited_confirmation) && restart_if_old(cx, lookup) {
--- a/crates/plantainquay_core/src/relay/agent/upstream.rs
+++ b/crates/plantainquay_core/src/relay/agent/upstream.rs
@@ -53,7 +53,9 @@
         }
     }
     if needs_timer {
-        shard.timers.schedule(cx.now + lookup::PROBE_INTERVAL, flow);
+        let check_at = lookup::confirmation_check_at(entry);
+        let tick_at = check_at.unwrap_or(cx.now + lookup::PROBE_INTERVAL);
+        shard.timers.schedule(tick_at, flow);
     }
 }
 
--- a/crates/plantainquay_core/src/relay/balancer/search.rs
+++ b/crates/plantainquay_core/src/relay/balancer/search.rs
@@ -31,8 +31,8 @@
 const DENIAL_TTL: Duration = Duration::from_secs(1);
 /// Time after which a search that hasn't found the flow starts over.
 const SEARCH_TTL: Duration = Duration::from_secs(5);
-/// Interval at which a search checks whether the view was confirmed.
-const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Minimum interval at which a search checks whether the view was confirmed: at each tick.
+const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 /// Age of the view above which routes may exist that it doesn't have.
 pub(super) const MAX_VIEW_AGE: Duration = Duration::from_secs(4);
 
--- a/crates/plantainquay_core/tests/relay/lookup.rs
+++ b/crates/plantainquay_core/tests/relay/lookup.rs
@@ -243,6 +243,28 @@
     assert_eq!(is_lost(&actions), !has_registered);
 }
 
+/// Callers of lost flows wait for their reset: a denied lookup ends with the confirmation of the list,
+/// not with its next round of probes.
+#[rstest]
+fn denied_lookup_ends_as_soon_as_the_list_is_confirmed() {
+    let agent = agent();
+    agent.install(view(Some(Duration::ZERO)));
+    let tuple = tuple("198.51.100.1:40000");
+    let now = Timestamp::from_millis(1_000);
+    start_lookup(&agent, now, tuple);
+    let unconfirmed = || Some(Duration::from_secs(1));
+    let denial = message(RelayBody::NotHeld(tuple));
+    assert!(!is_lost(&agent.on_message(
+        now,
+        &unconfirmed,
+        process(2),
+        denial,
+        None
+    )));
+    let actions = agent.on_tick(Timestamp::from_millis(1_005), &just_confirmed);
+    assert!(is_lost(&actions));
+}
+
 /// A lookup waits longer for an agent that has left the list until that agent was silent once.
 #[rstest]
 #[case::silent(false, true)]
--- a/crates/plantainquay_net/src/relay.rs
+++ b/crates/plantainquay_net/src/relay.rs
@@ -19,7 +19,7 @@
 pub use balancer::BalancerThreads;
 pub use confirm::confirm_on_request;
 pub use fetch::{Poll, fetch_changes};
-pub use fleet_state::FleetState;
+pub use fleet_state::{FleetState, OnConfirmed};
 pub use follow::follow;
 pub use format::PacketFormat;
 pub use http::{RelayHttpState, serve_relay_http};
--- a/crates/plantainquay_net/src/relay/agent.rs
+++ b/crates/plantainquay_net/src/relay/agent.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use bytes::{Bytes, BytesMut};
-use plantainquay_core::relay::{RelayAgent, RelayAgentConfig, RelayPolicy};
+use plantainquay_core::relay::{Actions, RelayAgent, RelayAgentConfig, RelayPolicy};
 use plantainquay_schema::{RelayAgentSettings, RelaySettings};
 
 use super::sockets::{SHARDS_PER_THREAD, receive_datagrams, spawn};
@@ -66,15 +66,17 @@
         spawn("ticks", move || {
             let now = || this.sockets.clock.now();
             let expire = || this.agent.expire(now());
-            let on_tick = || {
-                let now = now();
-                this.agent.on_tick(now, &|| this.sockets.fleet.age(now))
-            };
-            this.sockets.tick(on_tick, expire);
+            this.sockets.tick(|| this.on_tick(), expire);
         })?;
         Ok(())
     }
 
+    /// Continues what waits for time to pass or for a confirmation of the view.
+    pub fn on_tick(&self) -> Actions {
+        let now = self.sockets.clock.now();
+        self.agent.on_tick(now, &|| self.sockets.fleet.age(now))
+    }
+
     fn receive_messages(&self) {
         self.sockets.receive_messages(|from, message, packet| {
             let now = self.sockets.clock.now();
--- a/crates/plantainquay_net/src/relay/balancer.rs
+++ b/crates/plantainquay_net/src/relay/balancer.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use plantainquay_core::Timestamp;
-use plantainquay_core::relay::{RelayBalancer, RelayBalancerConfig, RelayPolicy};
+use plantainquay_core::relay::{Actions, RelayBalancer, RelayBalancerConfig, RelayPolicy};
 use plantainquay_schema::RelaySettings;
 
 use super::sockets::{SHARDS_PER_THREAD, receive_datagrams, spawn};
@@ -72,15 +72,17 @@
         spawn("ticks", move || {
             let now = || this.sockets.clock.now();
             let expire = || this.balancer.expire(now());
-            let on_tick = || {
-                let now = now();
-                this.balancer.on_tick(now, || this.sockets.fleet.age(now))
-            };
-            this.sockets.tick(on_tick, expire);
+            this.sockets.tick(|| this.on_tick(), expire);
         })?;
         Ok(())
     }
 
+    /// Continues what waits for time to pass or for a confirmation of the view.
+    pub fn on_tick(&self) -> Actions {
+        let now = self.sockets.clock.now();
+        self.balancer.on_tick(now, || self.sockets.fleet.age(now))
+    }
+
     fn receive_packets(&self) {
         receive_datagrams(&self.sockets.packets, |_, bytes| {
             let Some(packet) = (self.sockets.format.from_caller)(bytes) else {
--- a/crates/plantainquay_net/src/relay/confirm.rs
+++ b/crates/plantainquay_net/src/relay/confirm.rs
@@ -19,8 +19,10 @@
 use super::{FleetState, StoreError, StoreReader};
 use crate::event;
 
-/// Minimum time between two confirmations, which bounds the calls to the store.
-const MIN_INTERVAL: Millis = Millis(50);
+/// Minimum time between two confirmations by the store, which bounds the calls to it.
+const MIN_STORE_INTERVAL: Millis = Millis(20);
+/// Minimum time between two confirmations by a source, which serves many processes.
+const MIN_SOURCE_INTERVAL: Millis = Millis(30);
 /// Timeout of a request to a source, which itself waits for the store.
 const SOURCE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -40,10 +42,11 @@
             let (own, port) = (settings.own_address.ip(), settings.changes.port());
             choose_sources(fleet, state.now(), own, &settings.data_centre, port)
         });
-        let result = if sources.is_empty() {
-            ask_store(&state, &store).await
+        let (result, min_interval) = if sources.is_empty() {
+            (ask_store(&state, &store).await, MIN_STORE_INTERVAL)
         } else {
-            ask_sources(&state, &client, &sources).await
+            let result = ask_sources(&state, &client, &sources).await;
+            (result, MIN_SOURCE_INTERVAL)
         };
         // Further failures of one outage aren't logged.
         if let Err(reason) = &result
@@ -52,7 +55,7 @@
             event(Level::Warn, "view_unconfirmed", &[("reason", reason)]);
         }
         can_confirm = result.is_ok();
-        sleep(MIN_INTERVAL).await;
+        sleep(min_interval).await;
     }
 }
 
--- a/crates/plantainquay_net/src/relay/fleet_state.rs
+++ b/crates/plantainquay_net/src/relay/fleet_state.rs
@@ -19,6 +19,9 @@
 /// Longest wait for a confirmation that the state matches the store.
 const CONFIRMATION_WAIT: Duration = Duration::from_millis(300);
 
+/// Is called after the state was confirmed to match the store.
+pub type OnConfirmed = Box<dyn Fn() + Send + Sync>;
+
 /// Installs a new view.
 pub type InstallView = Box<dyn Fn(Arc<RelayView>) + Send + Sync>;
 
@@ -26,6 +29,7 @@
 pub struct FleetState {
     inner: Mutex<Inner>,
     install: Mutex<Option<InstallView>>,
+    on_confirmed: OnceLock<OnConfirmed>,
     /// True while neither the store nor another process confirms the state.
     is_cut_off: AtomicBool,
     /// Incremented on each change.
@@ -64,6 +68,7 @@
         Self {
             inner: Mutex::new(inner),
             install: Mutex::new(None),
+            on_confirmed: OnceLock::new(),
             is_cut_off: AtomicBool::new(true),
             changed: watch::Sender::new(0),
             confirmation_requests: watch::Sender::new(0),
@@ -79,6 +84,11 @@
         *self.install.lock() = Some(install);
     }
 
+    /// Sets the callback for confirmations, on which searches wait; the first one set is kept.
+    pub fn set_on_confirmed(&self, on_confirmed: OnConfirmed) {
+        let _already_set = self.on_confirmed.set(on_confirmed);
+    }
+
     /// Applies changes from the store or from another process.
     pub fn apply(&self, changes: Changes, source: &str) {
         let now = self.clock.now();
@@ -101,6 +111,9 @@
         drop(inner);
         if is_confirmation {
             self.confirmations.send_modify(|count| *count += 1);
+            if let Some(on_confirmed) = self.on_confirmed.get() {
+                on_confirmed();
+            }
         }
     }
 
--- a/crates/plantainquayd/src/relay.rs
+++ b/crates/plantainquayd/src/relay.rs
@@ -136,6 +136,10 @@
                     BalancerThreads::start(settings, adapter.format, fleet_handle, clock)?;
                 let view_target = Arc::clone(&threads);
                 fleet.set_install_view(Box::new(move |view| view_target.balancer.install(view)));
+                let searches = Arc::clone(&threads);
+                fleet.set_on_confirmed(Box::new(move || {
+                    searches.sockets.execute_actions(searches.on_tick());
+                }));
                 Ok(Self::Balancer(threads))
             }
             RelayRole::Agent(agent) => {
@@ -143,6 +147,10 @@
                     AgentThreads::start(settings, agent, adapter.format, Arc::clone(fleet), clock)?;
                 let view_target = Arc::clone(&threads);
                 fleet.set_install_view(Box::new(move |view| view_target.agent.install(view)));
+                let lookups = Arc::clone(&threads);
+                fleet.set_on_confirmed(Box::new(move || {
+                    lookups.sockets.execute_actions(lookups.on_tick());
+                }));
                 Ok(Self::Agent(threads, agent.upstream))
             }
         }
