End the request of a flow whose packet the upstream returned

Reported by the review: a request that is counted while its flow turns out to be at another upstream was counted for good, since idle entries of remote flows end no request.

Shown by request_whose_flow_is_elsewhere_is_not_counted: a packet after the flow's end, returned by the upstream and claimed by another agent, left one request in progress after 5 s.

Change: a lookup ends the request, as its packet was returned.

--- a/crates/plantainquay_core/src/relay/agent/lookup.rs
+++ b/crates/plantainquay_core/src/relay/agent/lookup.rs
@@ -111,6 +111,10 @@
     let Some(balancer) = entry.balancer else {
         return cx.actions.push(Action::Drop(DropReason::UnknownFlow));
     };
+    // The upstream doesn't work on a request whose packet it returned.
+    cx.with_meter(|meter| {
+        entry.end_request(cx.now, meter);
+    });
     cx.count(|c| c.lookups += 1);
     let mut lookup = Lookup {
         requested_at: cx.now,
--- a/crates/plantainquay_core/tests/relay/pacing.rs
+++ b/crates/plantainquay_core/tests/relay/pacing.rs
@@ -4,11 +4,11 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
-use crate::support::{PEER_PORT, established, just_confirmed, process, route, upstream};
+use crate::support::{PEER_PORT, established, just_confirmed, message, process, route, upstream};
 use bytes::Bytes;
 use plantainquay_core::relay::{Action, Actions, Packet, RelayAgent, RelayView};
 use plantainquay_core::{FiveTuple, Fleet, Timestamp};
-use plantainquay_schema::{Changes, Generation, RouteDocument};
+use plantainquay_schema::{Changes, Claim, Evidence, Generation, RelayBody, RouteDocument};
 
 /// Ports of listeners with urgent and with normal priority.
 const URGENT: u16 = 80;
@@ -66,6 +66,38 @@
     }
 }
 
+/// Guards against requests that count for good and in the end stop the agent's queue: their flow turned
+/// out to be at another upstream.
+#[test]
+fn request_whose_flow_is_elsewhere_is_not_counted() {
+    let agent = agent();
+    let flow = packet(1, NORMAL, 10);
+    let closing = Packet {
+        fin: true,
+        data_bytes: 0,
+        ..flow
+    };
+    send(&agent, 0, &flow, "open");
+    answer(&agent, 1, &flow);
+    send(&agent, 2, &closing, "close");
+    send(&agent, 3, &flow, "more");
+    assert_eq!(agent.meter().requests_in_progress(), 1);
+    let returned = Packet {
+        returned: true,
+        ..flow
+    };
+    answer(&agent, 4, &returned);
+    let claim = Claim {
+        tuple: flow.tuple,
+        evidence: Evidence::SentPackets,
+    };
+    let located = message(RelayBody::Located(claim));
+    let now = Timestamp::from_millis(5);
+    agent.on_message(now, &just_confirmed, process(2), located, None);
+    agent.expire(Timestamp::from_millis(5_000));
+    assert_eq!(agent.meter().requests_in_progress(), 0);
+}
+
 #[test]
 fn newest_urgent_request_goes_first_and_old_ones_are_forgotten() {
     let agent = agent();
