--- a/crates/plantainquay_net/src/relay/fleet_state.rs
+++ b/crates/plantainquay_net/src/relay/fleet_state.rs
@@ -215,8 +215,8 @@
         self.confirmation_requests.subscribe()
     }
 
-    /// Waits until the state is known to have matched the store at `time` or later, for at most
-    /// [`CONFIRMATION_WAIT`]; returns true if it is.
+    /// Waits until the state is known to have matched the store at `time` or later, for at most 300 ms;
+    /// returns true if it is.
     pub async fn wait_until_confirmed_since(&self, time: Timestamp) -> bool {
         let mut confirmations = self.confirmations.subscribe();
         let is_confirmed = || {
