--- a/crates/plantainquay_core/src/relay/agent/flow.rs
+++ b/crates/plantainquay_core/src/relay/agent/flow.rs
@@ -82,7 +82,7 @@
     pub(super) upstreams_revision: StoreRevision,
 }
 
-/// A flow that the upstream may hold, or whose packets it no longer reads.
+/// What is known of a flow that the upstream doesn't return: it holds the flow, or has terminated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Presumption {
     /// The other agent that looked up the flow, if any.
@@ -113,7 +113,7 @@
 /// A lookup of a flow among the other agents.
 #[derive(Debug)]
 pub(super) struct Lookup {
-    /// Time of the first packet, which the upstream that holds the flow was listed before.
+    /// Time at which the lookup began; the upstream that holds the flow was listed before.
     pub(super) requested_at: Timestamp,
     /// Start of the current window of denials.
     pub(super) started_at: Timestamp,
--- a/crates/plantainquay_core/src/relay/balancer/cache.rs
+++ b/crates/plantainquay_core/src/relay/balancer/cache.rs
@@ -158,7 +158,7 @@
         has_room.then(|| *self.unplaced.entry(flow).or_insert(now))
     }
 
-    /// Returns the time of the first packet of a flow that was unplaced until now.
+    /// Returns the time of the first packet of an unplaced flow, if it had one.
     pub(super) fn known_first_packet_at(&self, flow: FlowId) -> Option<Timestamp> {
         self.unplaced.get(&flow).copied()
     }
--- a/crates/plantainquay_core/src/relay/balancer/event.rs
+++ b/crates/plantainquay_core/src/relay/balancer/event.rs
@@ -215,7 +215,8 @@
         shard.release_packet(flow);
     }
 
-    /// Asks the next service about a flow that one service has denied, or ends the search.
+    /// Handles an agent's report that its service doesn't hold a flow: asks the next service, waits,
+    /// or ends the search.
     pub(super) fn on_lost(
         &mut self,
         view_age: impl FnOnce() -> Option<Duration>,
