Choose the sources of a confirmation only after a change

Cause: confirm.rs chose the sources anew for each request, up to 33 times a second while searches wait, under the lock of the fleet and over all upstreams. The follower beside it kept its choice until a service's upstreams changed.

Change: that cache is a type of its own, SourceCache, which both use.

--- a/crates/plantainquay_net/src/relay.rs
+++ b/crates/plantainquay_net/src/relay.rs
@@ -13,6 +13,7 @@
 mod http;
 mod metrics;
 mod sockets;
+mod source_cache;
 mod store;
 
 pub use agent::AgentThreads;
--- a/crates/plantainquay_net/src/relay/confirm.rs
+++ b/crates/plantainquay_net/src/relay/confirm.rs
@@ -12,10 +12,10 @@
 use ntex::client::Client;
 use ntex::time::{Millis, sleep, timeout};
 use plantainquay_core::Fleet;
-use plantainquay_core::relay::choose_sources;
 use plantainquay_schema::{Changes, RelaySettings};
 
 use super::fetch::{Poll, fetch_changes};
+use super::source_cache::SourceCache;
 use super::{FleetState, StoreError, StoreReader};
 use crate::event;
 
@@ -37,11 +37,9 @@
     let client = Client::new().await;
     let mut requests = state.subscribe_confirmation_requests();
     let mut can_confirm = true;
+    let mut source_cache = SourceCache::default();
     while requests.changed().await.is_ok() {
-        let sources = state.with_fleet(|fleet| {
-            let (own, port) = (settings.own_address.ip(), settings.changes.port());
-            choose_sources(fleet, state.now(), own, &settings.data_centre, port)
-        });
+        let sources = source_cache.sources(&settings, &state);
         let (result, min_interval) = if sources.is_empty() {
             (ask_store(&state, &store).await, MIN_STORE_INTERVAL)
         } else {
--- a/crates/plantainquay_net/src/relay/follow.rs
+++ b/crates/plantainquay_net/src/relay/follow.rs
@@ -9,11 +9,12 @@
 use log::Level;
 use ntex::client::Client;
 use ntex::time::{Millis, sleep, timeout};
-use plantainquay_core::relay::{Sources, choose_sources};
+use plantainquay_core::relay::Sources;
 use plantainquay_core::{Fleet, Timestamp};
 use plantainquay_schema::{Changes, RelaySettings, StoreRevision};
 
 use super::fetch::{Poll, fetch_changes};
+use super::source_cache::SourceCache;
 use super::{FleetState, Freshness, StoreError, StoreReader};
 use crate::clock::sleep_for;
 use crate::event;
@@ -57,8 +58,7 @@
         next_read_at: Timestamp::default(),
         can_watch: false,
         is_connected: false,
-        sources: Sources::new(),
-        service_change_count: None,
+        source_cache: SourceCache::default(),
     };
     follower.read_initial_state().await;
     loop {
@@ -87,9 +87,7 @@
     /// True if a watch may continue from the last revision.
     can_watch: bool,
     is_connected: bool,
-    /// The sources, chosen when [`Fleet::service_change_count`] was `service_change_count`.
-    sources: Sources,
-    service_change_count: Option<u64>,
+    source_cache: SourceCache,
 }
 
 impl Follower {
@@ -101,21 +99,9 @@
         }
     }
 
-    /// Returns the sources to try, chosen again after a service's upstreams have changed.
+    /// Returns the sources to try.
     fn sources(&mut self) -> Sources {
-        let settings = &self.settings;
-        let now = self.state.now();
-        self.state.with_fleet(|fleet| {
-            if self
-                .service_change_count
-                .replace(fleet.service_change_count())
-                != Some(fleet.service_change_count())
-            {
-                let (own, port) = (settings.own_address.ip(), settings.changes.port());
-                self.sources = choose_sources(fleet, now, own, &settings.data_centre, port);
-            }
-        });
-        self.sources.clone()
+        self.source_cache.sources(&self.settings, &self.state)
     }
 
     /// Follows the first source with a current state for as long as its state is current.
