Say once that a lookup waits for a confirmation

Cause: a lookup that waits asked twice in each tick whether an answer is awaited and how old the view is, once to wait and again inside finish_if_denied.

Change: await_confirmation holds the waiting, and its callers go there directly; Fleet::entry and five_tuple serve all places. A presumed flow keeps its requester in the state itself, in place of a type with one field.

--- a/crates/plantainquay_core/src/fleet.rs
+++ b/crates/plantainquay_core/src/fleet.rs
@@ -306,8 +306,11 @@
             departed.is_some_and(|r| r.era == entry.revision.era && r < entry.revision)
         };
         // The clock may have been set back between the two starts.
-        if wrote_after_departure_of(entry, other) || wrote_after_departure_of(other, entry) {
-            return wrote_after_departure_of(entry, other);
+        if wrote_after_departure_of(entry, other) {
+            return true;
+        }
+        if wrote_after_departure_of(other, entry) {
+            return false;
         }
         let order = |entry: &UpstreamEntry| (entry.incarnation, entry.revision);
         (order(entry), &entry.id) > (order(other), &other.id)
@@ -379,10 +382,7 @@
     ///
     /// The upstream writes its entry again; until then the newer one is used.
     fn is_outdated_copy(&self, entry: &UpstreamEntry) -> bool {
-        let listed = self.upstreams.get(&entry.id);
-        let departed = self.departed.get(&entry.id).and_then(|d| d.last.as_ref());
-        let known = listed.or(departed).map(|record| &record.entry);
-        known.is_some_and(|known| {
+        self.entry(&entry.id).is_some_and(|known| {
             entry.revision.era > known.revision.era && entry.was_written_before(known)
         })
     }
--- a/crates/plantainquay_core/src/relay.rs
+++ b/crates/plantainquay_core/src/relay.rs
@@ -14,8 +14,7 @@
 //!   entry for the flow tries its own upstream, then probes all other agents of the service in
 //!   parallel.
 //! - A flow is reset only when every upstream has denied it that the store listed after the first
-//!   packet of the search, or when the upstream that held it
-//!   returns its packets.
+//!   packet of the search, or when the upstream that held it returns its packets.
 
 mod action;
 mod agent;
--- a/crates/plantainquay_core/src/relay/action.rs
+++ b/crates/plantainquay_core/src/relay/action.rs
@@ -33,7 +33,7 @@
     },
     /// Drops the packet.
     Drop(DropReason),
-    /// Confirm soon that the view matches the store: a search waits for it.
+    /// Confirms soon that the view matches the store: a search waits for it.
     ConfirmView,
     /// Records the time that the upstream took to begin its answer to a request.
     RecordAnswerTime {
--- a/crates/plantainquay_core/src/relay/agent/established.rs
+++ b/crates/plantainquay_core/src/relay/agent/established.rs
@@ -31,7 +31,7 @@
     match &mut entry.state {
         FlowState::Offered(_)
         | FlowState::Accepted
-        | FlowState::Presumed(_)
+        | FlowState::Presumed { .. }
         | FlowState::Open
         | FlowState::Closing => {
             let is_detour = established.hops > 0 || from != established.balancer;
--- a/crates/plantainquay_core/src/relay/agent/flow.rs
+++ b/crates/plantainquay_core/src/relay/agent/flow.rs
@@ -58,8 +58,12 @@
     Offered(Box<OpeningPacket>),
     /// The upstream answered the opening packet.
     Accepted,
-    /// The upstream has neither returned the flow's packets nor sent any of its own.
-    Presumed(Presumption),
+    /// The upstream has neither returned the flow's packets nor sent any of its own: it holds the
+    /// flow, or has terminated.
+    Presumed {
+        /// The other agent that looked up the flow, if any.
+        requester: Option<SocketAddr>,
+    },
     /// The upstream holds the flow and has sent packets of it.
     Open,
     /// One or both ends have closed the flow, or it was reset.
@@ -82,13 +86,6 @@
     pub(super) upstreams_revision: StoreRevision,
 }
 
-/// What is known of a flow that the upstream doesn't return: it holds the flow, or has terminated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Presumption {
-    /// The other agent that looked up the flow, if any.
-    pub(super) requester: Option<SocketAddr>,
-}
-
 /// The agent whose upstream holds a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Holder {
@@ -291,7 +288,7 @@
     pub(super) fn counts_as_open(&self) -> bool {
         matches!(
             self.state,
-            FlowState::Accepted | FlowState::Presumed(_) | FlowState::Open
+            FlowState::Accepted | FlowState::Presumed { .. } | FlowState::Open
         )
     }
 
@@ -309,7 +306,7 @@
 
     /// Returns the evidence that the upstream holds a flow that counts as open.
     pub(super) fn evidence(&self) -> Evidence {
-        if matches!(self.state, FlowState::Presumed(_)) {
+        if matches!(self.state, FlowState::Presumed { .. }) {
             Evidence::Silence
         } else {
             Evidence::SentPackets
--- a/crates/plantainquay_core/src/relay/agent/lookup.rs
+++ b/crates/plantainquay_core/src/relay/agent/lookup.rs
@@ -9,9 +9,7 @@
 };
 use smallvec::SmallVec;
 
-use super::flow::{
-    FlowEntry, FlowShard, FlowState, Holder, Lookup, Loss, PacketQueue, Presumption, Trial,
-};
+use super::flow::{FlowEntry, FlowShard, FlowState, Holder, Lookup, Loss, PacketQueue, Trial};
 use super::{Action, Context};
 use crate::Timestamp;
 use crate::relay::{Candidate, CandidateState, Decision, DropReason, Packet, ServiceCandidates};
@@ -144,7 +142,7 @@
     entry.last_packet_at = cx.now;
     lookup.reported_to = None;
     if awaits_confirmation(cx, lookup) {
-        finish_if_denied(cx, entry);
+        await_confirmation(cx, entry);
         return confirmation_check_at(entry);
     }
     if restart_if_old(cx, lookup) {
@@ -295,11 +293,8 @@
 }
 
 /// Ends the lookup if every upstream that may hold the flow has denied it.
-///
-/// If the list of upstreams wasn't confirmed since the flow's first packet, it may lack the one that
-/// holds the flow: the balancer learns that the known ones have denied it, and the lookup goes on.
 fn finish_if_denied(cx: &mut Context<'_>, entry: &mut FlowEntry) {
-    let FlowState::LookingUp(lookup) = &mut entry.state else {
+    let FlowState::LookingUp(lookup) = &entry.state else {
         return;
     };
     let Some(upstreams_revision) = cx.candidates().map(ServiceCandidates::revision) else {
@@ -308,20 +303,10 @@
     if awaits_answer(cx, lookup) {
         return;
     }
-    let tuple = entry.tuple;
     if !cx.is_view_confirmed_since(lookup.requested_at) {
-        cx.actions.push(Action::ConfirmView);
-        lookup.awaits_confirmation = true;
-        lookup.next_tick_at = cx.now + CONFIRMATION_CHECK_INTERVAL;
-        let balancer = entry.balancer.filter(|b| lookup.reported_to != Some(*b));
-        if let Some(balancer) = balancer {
-            lookup.reported_to = Some(balancer);
-            let denials = lookup.denied_by.len() as u64;
-            cx.record_decision(tuple, Decision::LookupUnconfirmed, None, denials);
-            send_lost(cx, tuple, balancer, upstreams_revision, false);
-        }
-        return;
+        return await_confirmation(cx, entry);
     }
+    let tuple = entry.tuple;
     let micros = cx.micros_since(lookup.requested_at);
     cx.record_decision(tuple, Decision::LookupLost, None, micros);
     entry.state = FlowState::Lost(Loss {
@@ -334,6 +319,29 @@
     }
 }
 
+/// Continues a lookup that every known upstream has denied, since the list of upstreams wasn't
+/// confirmed after the flow's first packet: it may lack the one that holds the flow.
+///
+/// The balancer learns that the known ones have denied it.
+fn await_confirmation(cx: &mut Context<'_>, entry: &mut FlowEntry) {
+    let FlowState::LookingUp(lookup) = &mut entry.state else {
+        return;
+    };
+    let Some(upstreams_revision) = cx.candidates().map(ServiceCandidates::revision) else {
+        return;
+    };
+    cx.actions.push(Action::ConfirmView);
+    lookup.awaits_confirmation = true;
+    lookup.next_tick_at = cx.now + CONFIRMATION_CHECK_INTERVAL;
+    let balancer = entry.balancer.filter(|b| lookup.reported_to != Some(*b));
+    if let Some(balancer) = balancer {
+        lookup.reported_to = Some(balancer);
+        let denials = lookup.denied_by.len() as u64;
+        cx.record_decision(entry.tuple, Decision::LookupUnconfirmed, None, denials);
+        send_lost(cx, entry.tuple, balancer, upstreams_revision, false);
+    }
+}
+
 /// Returns the time at which a lookup that waits for a confirmation checks for it.
 pub(super) fn confirmation_check_at(entry: &FlowEntry) -> Option<Timestamp> {
     match &entry.state {
@@ -399,10 +407,8 @@
     while let Some(entry) = shard.next_expired(cx.now) {
         match &mut entry.state {
             FlowState::OnTrial(trial) if cx.now.since(trial.started_at) >= TRIAL_TIMEOUT => {
-                let presumption = Presumption {
-                    requester: trial.requester,
-                };
-                end_trial(cx, entry, FlowState::Presumed(presumption));
+                let requester = trial.requester;
+                end_trial(cx, entry, FlowState::Presumed { requester });
             }
             FlowState::LookingUp(lookup) => {
                 if cx.now < lookup.next_tick_at {
@@ -436,7 +442,7 @@
             return None;
         }
         lookup.last_round_at = cx.now;
-        finish_if_denied(cx, entry);
+        await_confirmation(cx, entry);
         CONFIRMATION_CHECK_INTERVAL
     } else if (was_paused || awaited_confirmation) && restart_if_old(cx, lookup) {
         PROBE_INTERVAL
--- a/crates/plantainquay_core/src/relay/agent/opening.rs
+++ b/crates/plantainquay_core/src/relay/agent/opening.rs
@@ -27,7 +27,7 @@
             // A retransmission is sent to the upstream that received the first transmission.
             FlowState::Offered(_)
             | FlowState::Accepted
-            | FlowState::Presumed(_)
+            | FlowState::Presumed { .. }
             | FlowState::Open => {
                 entry.last_packet_at = cx.now;
                 if entry.counts_as_open() {
--- a/crates/plantainquay_core/src/relay/agent/upstream.rs
+++ b/crates/plantainquay_core/src/relay/agent/upstream.rs
@@ -37,7 +37,7 @@
             cx.record_decision(packet.tuple, Decision::UpstreamLostFlow, None, 0);
             cx.actions.push(entry.reset(ResetReason::UpstreamLostFlow));
         }
-        FlowState::Accepted | FlowState::Presumed(_) => {
+        FlowState::Accepted | FlowState::Presumed { .. } => {
             // The caller may have accepted another upstream's answer to a retransmission.
             cx.with_meter(|meter| entry.close(cx.now, meter));
             lookup::start_lookup(cx, entry, bytes, PacketQueue::new());
@@ -89,9 +89,9 @@
             }
             FlowState::OnTrial(_) if !packet.syn => lookup::end_trial(cx, entry, FlowState::Open),
             FlowState::Accepted if !packet.syn => entry.state = FlowState::Open,
-            FlowState::Presumed(presumption) if !packet.syn => {
+            FlowState::Presumed { requester } if !packet.syn => {
                 // Replaces the claims of other agents that only presume to hold the flow.
-                let recipients = [entry.balancer, presumption.requester];
+                let recipients = [entry.balancer, *requester];
                 entry.state = FlowState::Open;
                 for process in recipients.into_iter().flatten() {
                     cx.send_located(packet.tuple, Evidence::SentPackets, process);
--- a/crates/plantainquay_schema/src/relay.rs
+++ b/crates/plantainquay_schema/src/relay.rs
@@ -326,10 +326,7 @@
     type Error = RelayError;
 
     fn try_from(flow: wire::relay::Flow) -> Result<Self, RelayError> {
-        Ok(Self {
-            source: required_address(flow.caller, "caller")?,
-            destination: required_address(flow.listener, "listener")?,
-        })
+        five_tuple(flow.caller, flow.listener)
     }
 }
 
@@ -350,12 +347,8 @@
     type Error = RelayError;
 
     fn try_from(claim: wire::relay::Claim) -> Result<Self, RelayError> {
-        let flow = wire::relay::Flow {
-            caller: claim.caller,
-            listener: claim.listener,
-        };
         Ok(Self {
-            tuple: flow.try_into()?,
+            tuple: five_tuple(claim.caller, claim.listener)?,
             evidence: if claim.presumed {
                 Evidence::Silence
             } else {
@@ -384,19 +377,25 @@
     type Error = RelayError;
 
     fn try_from(lost: wire::relay::LostFlow) -> Result<Self, RelayError> {
-        let flow = wire::relay::Flow {
-            caller: lost.caller,
-            listener: lost.listener,
-        };
         let revision = lost.upstreams_revision;
         Ok(Self {
-            tuple: flow.try_into()?,
+            tuple: five_tuple(lost.caller, lost.listener)?,
             upstreams_revision: revision.map(|n| StoreRevision::new(lost.upstreams_era, n)),
             is_complete: lost.is_complete,
         })
     }
 }
 
+fn five_tuple(
+    caller: Option<wire::relay::Endpoint>,
+    listener: Option<wire::relay::Endpoint>,
+) -> Result<FiveTuple, RelayError> {
+    Ok(FiveTuple {
+        source: required_address(caller, "caller")?,
+        destination: required_address(listener, "listener")?,
+    })
+}
+
 fn wire_endpoint(address: SocketAddr) -> Result<wire::relay::Endpoint, RelayError> {
     let SocketAddr::V4(address) = address else {
         return Err(RelayError::NotIpv4(address));
