--- a/crates/plantainquay_core/tests/relay/claims.rs
+++ b/crates/plantainquay_core/tests/relay/claims.rs
@@ -1,5 +1,6 @@
 //! Claims of several agents to one flow.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,7 +15,8 @@
 use rstest::rstest;
 
 use crate::support::{
-    PEER_PORT, agent, established, just_confirmed, message, packet, process, route, upstream,
+    PEER_PORT, agent, just_confirmed, message, packet, process, route, send_data, send_opening,
+    upstream,
 };
 
 /// Agent whose upstream has sent packets of the flow.
@@ -44,7 +46,7 @@
     Arc::new(view)
 }
 
-fn claim(number: u8) -> (std::net::SocketAddr, RelayBody) {
+fn claim(number: u8) -> (SocketAddr, RelayBody) {
     let evidence = if number == HOLDER {
         Evidence::SentPackets
     } else {
@@ -77,7 +79,7 @@
     resets.count()
 }
 
-fn receivers_of_packet(actions: &Actions) -> Vec<std::net::SocketAddr> {
+fn receivers_of_packet(actions: &Actions) -> Vec<SocketAddr> {
     let sent = actions.iter().filter_map(|action| match action {
         Action::Send(to, message) if message.body.packet().is_some() => Some(*to),
         _ => None,
@@ -124,26 +126,7 @@
     let agent = agent();
     agent.install(view());
     let now = Timestamp::from_millis(1);
-    let opening = Packet {
-        syn: true,
-        acknowledges: false,
-        ack: 0,
-        ..packet(tuple(), 0)
-    };
-    let body = RelayBody::Opening(plantainquay_schema::OpeningPacket {
-        packet: Bytes::from_static(b"syn"),
-        balancer: process(9),
-        visited: plantainquay_schema::VisitedAgents::new(),
-        best: None,
-        chosen: true,
-    });
-    agent.on_message(
-        now,
-        &just_confirmed,
-        process(9),
-        message(body),
-        Some(&opening),
-    );
+    send_opening(&agent, now, tuple());
     let answer = Packet {
         syn: true,
         ..packet(tuple(), 0)
@@ -155,14 +138,7 @@
         Bytes::from_static(b"syn-ack"),
     );
     if caller_answers {
-        let data = packet(tuple(), 10);
-        agent.on_message(
-            now,
-            &just_confirmed,
-            process(9),
-            established(b"data"),
-            Some(&data),
-        );
+        send_data(&agent, now, tuple());
     }
     assert_eq!(resets(&agent.upstream_ended()), expected_resets);
 }
@@ -180,14 +156,7 @@
         let (from, body) = claim(number);
         agent.on_message(now, &just_confirmed, from, message(body), None);
     }
-    let data = packet(tuple(), 10);
-    let actions = agent.on_message(
-        now,
-        &just_confirmed,
-        process(9),
-        established(b"data"),
-        Some(&data),
-    );
+    let actions = send_data(&agent, now, tuple());
     assert_eq!(receivers_of_packet(&actions), [process(HOLDER)]);
 }
 
@@ -201,14 +170,7 @@
     let (from, body) = claim(HOLDER);
     agent.on_message(AFTER_TRIAL, &just_confirmed, from, message(body), None);
     assert_eq!(agent.meter().open_flows(), 0);
-    let data = packet(tuple(), 10);
-    let actions = agent.on_message(
-        AFTER_TRIAL,
-        &just_confirmed,
-        process(9),
-        established(b"data"),
-        Some(&data),
-    );
+    let actions = send_data(&agent, AFTER_TRIAL, tuple());
     assert_eq!(receivers_of_packet(&actions), [process(HOLDER)]);
 }
 
--- a/crates/plantainquay_core/tests/relay/lookup.rs
+++ b/crates/plantainquay_core/tests/relay/lookup.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use crate::support::{
-    PEER_PORT, agent, established, just_confirmed, message, packet, process, store_revision,
-    upstream,
+    PEER_PORT, agent, just_confirmed, message, packet, process, send_data, store_revision, upstream,
 };
 use bytes::Bytes;
 use plantainquay_core::relay::{Action, Actions, Packet, RelayAgent, RelayView};
@@ -14,10 +13,15 @@
 use rstest::rstest;
 
 fn view(age: Option<Duration>) -> Arc<RelayView> {
+    view_of(2, age)
+}
+
+/// A view with this number of agents.
+fn view_of(agents: u8, age: Option<Duration>) -> Arc<RelayView> {
     let mut fleet = Fleet::default();
     let changes = Changes {
         age,
-        upstreams: vec![upstream(1), upstream(2)],
+        upstreams: (1..=agents).map(upstream).collect(),
         ..Changes::default()
     };
     fleet.apply(Timestamp(0), changes);
@@ -47,19 +51,6 @@
     Arc::new(view)
 }
 
-/// A view with a third agent, which registered after the first two.
-fn view_with_new_agent() -> Arc<RelayView> {
-    let mut fleet = Fleet::default();
-    let changes = Changes {
-        age: Some(Duration::ZERO),
-        upstreams: vec![upstream(1), upstream(2), upstream(3)],
-        ..Changes::default()
-    };
-    fleet.apply(Timestamp(0), changes);
-    let view = RelayView::build(&fleet, Timestamp(0), PEER_PORT, &RelayView::default());
-    Arc::new(view)
-}
-
 /// Number of agents that were probed.
 fn probed(actions: &Actions) -> usize {
     let is_probe = |action: &&Action| matches!(action, Action::Send(_, message) if matches!(message.body, RelayBody::Probe(_)));
@@ -72,17 +63,10 @@
 
 /// Sends a packet of a flow to the agent, whose upstream returns it.
 fn start_lookup(agent: &RelayAgent, now: Timestamp, tuple: FiveTuple) -> Actions {
-    let data = packet(tuple, 10);
-    agent.on_message(
-        now,
-        &just_confirmed,
-        process(9),
-        established(b"data"),
-        Some(&data),
-    );
+    send_data(agent, now, tuple);
     let returned = Packet {
         returned: true,
-        ..data
+        ..packet(tuple, 10)
     };
     agent.on_upstream_packet(now, &just_confirmed, &returned, Bytes::from_static(b"data"))
 }
@@ -183,14 +167,7 @@
     let now = Timestamp::from_millis(confirmed_ms + 100);
     if needs_packet {
         assert!(!is_lost(&agent.on_tick(now, &just_confirmed)));
-        let data = packet(tuple, 10);
-        agent.on_message(
-            now,
-            &just_confirmed,
-            process(9),
-            established(b"data"),
-            Some(&data),
-        );
+        send_data(&agent, now, tuple);
         assert!(is_lost(&agent.on_message(
             now,
             &just_confirmed,
@@ -232,7 +209,7 @@
         assert_eq!(probed(&actions), 0, "at {ms} ms");
     }
     if has_registered {
-        agent.install(view_with_new_agent());
+        agent.install(view_of(3, Some(Duration::ZERO)));
     }
     let actions = agent.on_tick(at(3_000), &just_confirmed);
     assert!(!is_lost(&actions));
--- a/crates/plantainquay_core/tests/relay/main.rs
+++ b/crates/plantainquay_core/tests/relay/main.rs
@@ -8,5 +8,6 @@
 mod restored_store;
 mod routes;
 mod search;
+mod site;
 mod support;
 mod view;
--- a/crates/plantainquay_core/tests/relay/restarts.rs
+++ b/crates/plantainquay_core/tests/relay/restarts.rs
@@ -4,18 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use plantainquay_core::relay::{Action, Packet, RelayView, ServiceCandidates, choose_sources};
+use plantainquay_core::relay::{Action, RelayView, ServiceCandidates, choose_sources};
 use plantainquay_core::{FiveTuple, Fleet, FleetVersion, Timestamp};
 use plantainquay_schema::{
-    Changes, Departure, Incarnation, OpeningPacket, RelayBody, ServiceId, StoreRevision,
-    UpstreamEntry, VisitedAgents,
+    Changes, Departure, Incarnation, ServiceId, StoreRevision, UpstreamEntry,
 };
 use rstest::{Context, rstest};
 
-use crate::support::{
-    PEER_PORT, SERVICE, agent, just_confirmed, message, packet, process, store_revision, upstream,
-};
+use crate::support::{PEER_PORT, SERVICE, agent, process, send_opening, store_revision, upstream};
 
 const OTHER_SERVICE: &str = "desk";
 /// Time after which an upstream that left without notice counts as gone, in milliseconds.
@@ -174,29 +170,8 @@
     let now = Timestamp::from_millis(500);
     let agent = agent();
     agent.install(Arc::new(view(&fleet, now)));
-    let opening = Packet {
-        syn: true,
-        acknowledges: false,
-        ack: 0,
-        ..packet(
-            FiveTuple::tcp("198.51.100.1:40000", "192.0.2.1:80").expect("two addresses"),
-            0,
-        )
-    };
-    let body = RelayBody::Opening(OpeningPacket {
-        packet: Bytes::from_static(b"syn"),
-        balancer: process(9),
-        visited: VisitedAgents::new(),
-        best: None,
-        chosen: true,
-    });
-    let actions = agent.on_message(
-        now,
-        &just_confirmed,
-        process(9),
-        message(body),
-        Some(&opening),
-    );
+    let tuple = FiveTuple::tcp("198.51.100.1:40000", "192.0.2.1:80").expect("two addresses");
+    let actions = send_opening(&agent, now, tuple);
     let is_offer = |action: &Action| matches!(action, Action::ToUpstream(_));
     assert!(!actions.iter().any(is_offer));
     assert!(
--- a/crates/plantainquay_core/tests/relay/support.rs
+++ b/crates/plantainquay_core/tests/relay/support.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use plantainquay_core::FiveTuple;
-use plantainquay_core::relay::{Packet, RelayAgent, RelayAgentConfig, RelayPolicy};
+use plantainquay_core::relay::{Actions, Packet, RelayAgent, RelayAgentConfig, RelayPolicy};
+use plantainquay_core::{FiveTuple, Timestamp};
 use plantainquay_schema::{
-    EstablishedPacket, Incarnation, RelayBody, RelayMessage, Route, ServiceId, StoreRevision,
-    UpstreamEntry, WeightedService,
+    EstablishedPacket, Incarnation, OpeningPacket, RelayBody, RelayMessage, Route, ServiceId,
+    StoreRevision, UpstreamEntry, VisitedAgents, WeightedService,
 };
 
 /// Port for messages between processes.
@@ -95,6 +95,32 @@
     }))
 }
 
+/// Sends the agent a packet of an open flow, as forwarded by the balancer with number 9.
+pub fn send_data(agent: &RelayAgent, now: Timestamp, tuple: FiveTuple) -> Actions {
+    let data = packet(tuple, 10);
+    let message = established(b"data");
+    agent.on_message(now, &just_confirmed, process(9), message, Some(&data))
+}
+
+/// Sends the agent the opening packet of a flow that it was chosen to accept, from the balancer with
+/// number 9.
+pub fn send_opening(agent: &RelayAgent, now: Timestamp, tuple: FiveTuple) -> Actions {
+    let opening = Packet {
+        syn: true,
+        acknowledges: false,
+        ack: 0,
+        ..packet(tuple, 0)
+    };
+    let message = message(RelayBody::Opening(OpeningPacket {
+        packet: Bytes::from_static(b"syn"),
+        balancer: process(9),
+        visited: VisitedAgents::new(),
+        best: None,
+        chosen: true,
+    }));
+    agent.on_message(now, &just_confirmed, process(9), message, Some(&opening))
+}
+
 /// The route of a port, with a request timeout of 500 ms.
 pub fn route(port: u16, priority: u32) -> Route {
     Route {
