Count an age only for the view that it belongs to

Cause: a decision takes the view first and asks for its age when it needs it. If a newer view comes in between, the age is that one's: a view that lacks the upstream seemed confirmed. The same for the agents' lists and for packets without a route.

Ruled out: late ages on the way from a source, which would need 1.5 s.

Change: an age counts only if the view taken is still in force; otherwise the search waits for its next check. Found by reading, shown by age_of_a_newer_view_confirms_no_older_one and age_of_a_newer_list_confirms_no_older_one, which fail without it.

--- a/crates/plantainquay_core/src/relay/agent.rs
+++ b/crates/plantainquay_core/src/relay/agent.rs
@@ -242,7 +242,10 @@
 
     /// Returns true if the view matched the store at `time` or later.
     fn is_view_confirmed_since(&self, time: Timestamp) -> bool {
-        self.view.is_confirmed() && is_confirmed_since(time, self.now, (self.view_age)())
+        let age = (self.view_age)();
+        // A newer view may have come before the age was read.
+        let is_current = Arc::ptr_eq(&self.view, &self.agent.view.read());
+        is_current && self.view.is_confirmed() && is_confirmed_since(time, self.now, age)
     }
 
     fn candidates(&self) -> Option<&ServiceCandidates> {
--- a/crates/plantainquay_core/src/relay/balancer.rs
+++ b/crates/plantainquay_core/src/relay/balancer.rs
@@ -105,6 +105,7 @@
     ) -> Actions {
         let mut cx = Context::new(self, now);
         let view = Arc::clone(&cx.view);
+        let view_age = || self.age_of(&view, view_age());
         let Some(route) = view.route(packet.tuple.destination) else {
             cx.on_unrouted(view_age(), packet);
             return cx.actions;
@@ -127,6 +128,8 @@
     ) -> Actions {
         self.suspects.lock().remove(from);
         let mut cx = Context::new(self, now);
+        let view = Arc::clone(&cx.view);
+        let view_age = || self.age_of(&view, view_age());
         match message.body {
             RelayBody::Accepted(tuple) => cx.on_accepted(from, message.service, tuple),
             RelayBody::Located(claim) => cx.on_located(from, message.service, claim),
@@ -156,7 +159,8 @@
                 }
             }
             for tuple in searched {
-                cx.advance_search(&mut shard, view_age(), tuple);
+                let age = self.age_of(&cx.view, view_age());
+                cx.advance_search(&mut shard, age, tuple);
             }
         }
         cx.actions
@@ -169,6 +173,11 @@
         }
     }
 
+    /// Returns `age` if it is that of `view`: a newer view may have come before the age was read.
+    fn age_of(&self, view: &Arc<RelayView>, age: Option<Duration>) -> Option<Duration> {
+        age.filter(|_| Arc::ptr_eq(view, &self.view.read()))
+    }
+
     fn shard(&self, flow: FlowId) -> MutexGuard<'_, CacheShard> {
         self.shards[flow.shard_index(self.shards.len())].lock()
     }
--- a/crates/plantainquay_core/tests/relay/lookup.rs
+++ b/crates/plantainquay_core/tests/relay/lookup.rs
@@ -220,6 +220,23 @@
     assert_eq!(is_lost(&actions), !has_registered);
 }
 
+/// Guards against resets by an old list with the age of the list that replaces it meanwhile.
+#[rstest]
+fn age_of_a_newer_list_confirms_no_older_one() {
+    let agent = agent();
+    agent.install(view(Some(Duration::ZERO)));
+    let tuple = tuple("198.51.100.1:40000");
+    let now = Timestamp::from_millis(1_000);
+    start_lookup(&agent, now, tuple);
+    let age = || {
+        agent.install(view_of(3, Some(Duration::ZERO)));
+        Some(Duration::ZERO)
+    };
+    let denial = message(RelayBody::NotHeld(tuple));
+    let actions = agent.on_message(now, &age, process(2), denial, None);
+    assert!(!is_lost(&actions));
+}
+
 /// Callers of lost flows wait for their reset: a denied lookup ends with the confirmation of the list,
 /// not with its next round of probes.
 #[rstest]
--- a/crates/plantainquay_core/tests/relay/search.rs
+++ b/crates/plantainquay_core/tests/relay/search.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use plantainquay_core::relay::Action;
 use plantainquay_core::{Fleet, Timestamp};
-use plantainquay_schema::{Changes, Claim, Evidence, RelayBody, ServiceId, StoreRevision};
+use plantainquay_schema::{
+    Changes, Claim, Evidence, RelayBody, RelayMessage, ServiceId, StoreRevision,
+};
 use rstest::rstest;
 
 use crate::site::{
@@ -156,6 +159,30 @@
     assert_eq!(asked(&actions).is_some(), has_registered);
 }
 
+/// Guards against resets by an old view with the age of the view that replaces it meanwhile.
+#[rstest]
+fn age_of_a_newer_view_confirms_no_older_one() {
+    let mut site = Site::with_whole_history(&names(1));
+    site.publish(0, &["s0"]);
+    let newer = Arc::new((*site.view).clone());
+    let now = Timestamp::from_millis(2_000);
+    let (owner, service) = asked(&site.send(2_000, 1)).expect("the owner is asked");
+    let age = || {
+        site.balancer.install(Arc::clone(&newer));
+        Some(Duration::ZERO)
+    };
+    let message = RelayMessage {
+        service,
+        body: lost(1, 1),
+    };
+    assert!(!is_reset(
+        &site.balancer.on_message(now, age, owner, &message)
+    ));
+    let later = Timestamp::from_millis(2_010);
+    let confirmed = || Some(Duration::ZERO);
+    assert!(is_reset(&site.balancer.on_tick(later, confirmed)));
+}
+
 /// Guards against resets that rest on the report of an agent whose own source lags.
 #[rstest]
 fn report_from_an_unconfirmed_list_is_no_proof() {
--- a/crates/plantainquay_core/tests/relay/site.rs
+++ b/crates/plantainquay_core/tests/relay/site.rs
@@ -29,7 +29,7 @@
 pub struct Site {
     pub fleet: Fleet,
     pub balancer: RelayBalancer,
-    view: Arc<RelayView>,
+    pub view: Arc<RelayView>,
     generation: u64,
     last_tick_ms: Cell<u64>,
 }
